--- /dev/null
+++ b/bench/standin.cpp
@@ -0,0 +1,485 @@
+/// The stand-in upstreams.
+
+#include "bench/standin.h"
+
+#include "src/net/forwarder.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace crocusmill::standin
+{
+
+namespace
+{
+
+/// After it has said that it drains, an upstream may see starts for this long.
+constexpr Milliseconds drainAllowance {2'000};
+constexpr Milliseconds pollInterval {5};
+constexpr Milliseconds announceLimit {1'500};
+
+std::string freshIncarnation()
+{
+    std::random_device random;
+    return std::to_string(random()) + std::to_string(random());
+}
+
+MonotonicTime monotonicNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+asio::awaitable<void> sleepFor(std::chrono::microseconds time)
+{
+    asio::steady_timer timer {co_await asio::this_coro::executor, time};
+    boost::system::error_code ignored;
+    co_await timer.async_wait(errorInto(ignored));
+}
+
+std::chrono::microseconds serviceTime(const HttpRequest &request)
+{
+    const std::string text {request[std::string {serviceHeader}]};
+    return std::chrono::microseconds {text.empty() ? 0 : std::strtoll(text.c_str(), nullptr, 10)};
+}
+
+} // namespace
+
+struct StandIn::Upstream
+{
+    explicit Upstream(asio::io_context &context)
+        : acceptor(context)
+    {
+    }
+
+    std::uint32_t number = 0;
+    UpstreamId id;
+    std::uint16_t port = 0;
+    std::string incarnation = freshIncarnation();
+    std::uint64_t generation = 0; // rises at each restart
+    SlotCount slots;
+    Fault fault = Fault::None;
+    bool draining = false;
+    bool silent = false;
+    MonotonicTime drainingSince {};
+    Tcp::acceptor acceptor;
+    std::set<AttemptId> running; // and those that wait for a lease
+    std::uint32_t runningCount = 0;
+    std::map<AttemptId, std::uint32_t> finished;
+    std::set<AttemptId> refused;
+    std::map<AttemptId, MonotonicTime> leases;
+    bool announceSoon = false;
+};
+
+StandIn::StandIn(Options options)
+    : options_(std::move(options))
+{
+}
+
+StandIn::~StandIn()
+{
+    stop();
+}
+
+Result<void> StandIn::start()
+{
+    for (std::uint32_t i = 0; i < options_.count; ++i) {
+        std::unique_ptr<Upstream> upstream = std::make_unique<Upstream>(context_);
+        upstream->number = i;
+        upstream->id = idOf(i);
+        upstream->slots = options_.slots;
+        boost::system::error_code error;
+        const std::uint16_t port =
+            static_cast<std::uint16_t>(options_.firstPort == 0 ? 0 : options_.firstPort + i);
+        const Tcp::endpoint endpoint {asio::ip::make_address("127.0.0.1"), port};
+        upstream->acceptor.open(endpoint.protocol(), error);
+        upstream->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+        upstream->acceptor.bind(endpoint, error);
+        if (!error) {
+            upstream->acceptor.listen(asio::socket_base::max_listen_connections, error);
+        }
+        if (error) {
+            return HttpError::CannotListen;
+        }
+        upstream->port = upstream->acceptor.local_endpoint().port();
+        upstreams_.push_back(std::move(upstream));
+    }
+    for (const std::unique_ptr<Upstream> &upstream : upstreams_) {
+        asio::co_spawn(context_, accept(*upstream), asio::detached);
+        asio::co_spawn(context_, announceForever(*upstream), asio::detached);
+    }
+    thread_ = std::thread {[this]() {
+        context_.run();
+    }};
+    return success();
+}
+
+void StandIn::stop()
+{
+    stopping_ = true;
+    context_.stop();
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+}
+
+UpstreamId StandIn::idOf(std::uint32_t upstream) const
+{
+    return UpstreamId {options_.idPrefix + std::to_string(upstream)};
+}
+
+void StandIn::setFault(std::uint32_t upstream, Fault fault)
+{
+    const std::lock_guard<std::mutex> lock {mutex_};
+    upstreams_[upstream]->fault = fault;
+}
+
+void StandIn::setFaultForAll(Fault fault)
+{
+    const std::lock_guard<std::mutex> lock {mutex_};
+    for (const std::unique_ptr<Upstream> &upstream : upstreams_) {
+        upstream->fault = fault;
+    }
+}
+
+void StandIn::setSlots(std::uint32_t upstream, SlotCount slots)
+{
+    const std::lock_guard<std::mutex> lock {mutex_};
+    upstreams_[upstream]->slots = slots;
+    upstreams_[upstream]->announceSoon = true;
+}
+
+void StandIn::drain(std::uint32_t upstream)
+{
+    const std::lock_guard<std::mutex> lock {mutex_};
+    upstreams_[upstream]->draining = true;
+    upstreams_[upstream]->announceSoon = true;
+    upstreams_[upstream]->drainingSince = monotonicNow();
+}
+
+void StandIn::silence(std::uint32_t upstream, bool silent)
+{
+    const std::lock_guard<std::mutex> lock {mutex_};
+    upstreams_[upstream]->silent = silent;
+}
+
+void StandIn::restart(std::uint32_t upstream)
+{
+    const std::lock_guard<std::mutex> lock {mutex_};
+    Upstream &restarted = *upstreams_[upstream];
+    restarted.incarnation = freshIncarnation();
+    ++restarted.generation;
+    restarted.running.clear();
+    restarted.runningCount = 0;
+    restarted.finished.clear();
+    restarted.refused.clear();
+    restarted.leases.clear();
+    restarted.announceSoon = true;
+}
+
+Judgement StandIn::judge() const
+{
+    const std::lock_guard<std::mutex> lock {mutex_};
+    return judgement_;
+}
+
+std::uint32_t StandIn::runningNow() const
+{
+    const std::lock_guard<std::mutex> lock {mutex_};
+    std::uint32_t total = 0;
+    for (const std::unique_ptr<Upstream> &upstream : upstreams_) {
+        total += upstream->runningCount;
+    }
+    return total;
+}
+
+asio::awaitable<void> StandIn::accept(Upstream &upstream)
+{
+    while (!stopping_) {
+        boost::system::error_code error;
+        Tcp::socket socket = co_await upstream.acceptor.async_accept(errorInto(error));
+        if (error) {
+            co_return;
+        }
+        socket.set_option(Tcp::no_delay(true), error);
+        asio::co_spawn(context_, serve(upstream, std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> StandIn::serve(Upstream &upstream, Tcp::socket socket)
+{
+    beast::tcp_stream stream {std::move(socket)};
+    beast::flat_buffer buffer;
+    bool goOn = true;
+    while (goOn && !stopping_) {
+        HttpRequest request;
+        boost::system::error_code error;
+        co_await http::async_read(stream, buffer, request, errorInto(error));
+        if (error) {
+            co_return;
+        }
+        goOn = co_await answerOne(upstream, stream, request);
+    }
+}
+
+asio::awaitable<bool> StandIn::answerOne(
+    Upstream &upstream, beast::tcp_stream &stream, const HttpRequest &request)
+{
+    const AttemptId attempt {std::string {request[std::string {headers::attempt}]}};
+    Fault fault = Fault::None;
+    bool refused = false;
+    {
+        const std::lock_guard<std::mutex> lock {mutex_};
+        fault = upstream.fault;
+        refused = upstream.refused.contains(attempt) || fault == Fault::Refuse;
+    }
+    if (fault == Fault::DropAfterRead) {
+        co_return false;
+    }
+    HttpResponse response {http::status::service_unavailable, 11};
+    response.set(headers::attempt, attempt.value());
+    response.set(headers::notRun, "1");
+    if (!refused && request[std::string {headers::exclusive}] == "1") {
+        refused = !co_await awaitLease(upstream, attempt);
+    }
+    if (!refused) {
+        const bool answers = co_await work(upstream, request, attempt);
+        if (!answers) {
+            co_return false;
+        }
+        co_return co_await writeAnswer(upstream, stream, request, attempt);
+    }
+    response.prepare_payload();
+    boost::system::error_code error;
+    co_await http::async_write(stream, response, errorInto(error));
+    co_return !error;
+}
+
+asio::awaitable<bool> StandIn::awaitLease(Upstream &upstream, const AttemptId &attempt)
+{
+    const MonotonicTime limit = monotonicNow() + std::chrono::seconds {30};
+    {
+        const std::lock_guard<std::mutex> lock {mutex_};
+        upstream.running.insert(attempt);
+        upstream.announceSoon = true;
+    }
+    while (!stopping_ && monotonicNow() < limit) {
+        {
+            const std::lock_guard<std::mutex> lock {mutex_};
+            const auto lease = upstream.leases.find(attempt);
+            if (lease != upstream.leases.end() && monotonicNow() < lease->second) {
+                co_return true;
+            }
+            if (upstream.refused.contains(attempt)) {
+                upstream.running.erase(attempt);
+                co_return false;
+            }
+        }
+        co_await sleepFor(pollInterval);
+    }
+    const std::lock_guard<std::mutex> lock {mutex_};
+    upstream.running.erase(attempt);
+    co_return false;
+}
+
+void StandIn::noteStart(Upstream &upstream, const std::string &key, const AttemptId &attempt)
+{
+    const std::lock_guard<std::mutex> lock {mutex_};
+    if (upstream.runningCount >= upstream.slots.value()) {
+        ++judgement_.overSlots;
+    }
+    if (upstream.draining && monotonicNow() - upstream.drainingSince > drainAllowance) {
+        ++judgement_.startsAfterDrain;
+    }
+    upstream.running.insert(attempt);
+    ++upstream.runningCount;
+    ++judgement_.starts;
+    judgement_.mostAtOnce = std::max(judgement_.mostAtOnce, upstream.runningCount);
+    judgement_.startedAttempts.insert(attempt.value());
+    if (!key.empty()) {
+        ++judgement_.startsByKey[key];
+        if (++runningKeys_[key] > 1) {
+            ++judgement_.overlaps;
+        }
+    }
+}
+
+void StandIn::noteEnd(
+    Upstream &upstream, const std::string &key, const AttemptId &attempt, std::uint32_t status)
+{
+    const std::lock_guard<std::mutex> lock {mutex_};
+    if (!key.empty()) {
+        --runningKeys_[key];
+    }
+    if (upstream.running.erase(attempt) == 0) {
+        return; // it ran before a restart
+    }
+    --upstream.runningCount;
+    upstream.finished[attempt] = status;
+}
+
+asio::awaitable<bool> StandIn::work(
+    Upstream &upstream, const HttpRequest &request, const AttemptId &attempt)
+{
+    const std::string key {request[std::string {headers::idempotencyKey}]};
+    const bool exclusive = request[std::string {headers::exclusive}] == "1";
+    noteStart(upstream, key, attempt);
+    std::uint64_t generation = 0;
+    Fault fault = Fault::None;
+    {
+        const std::lock_guard<std::mutex> lock {mutex_};
+        generation = upstream.generation;
+        fault = upstream.fault;
+    }
+    const MonotonicTime end = monotonicNow() + serviceTime(request);
+    bool stopped = fault == Fault::Hang;
+    while (fault != Fault::FailEverything && (monotonicNow() < end || fault == Fault::Hang)) {
+        const std::chrono::microseconds left =
+            std::chrono::duration_cast<std::chrono::microseconds>(end - monotonicNow());
+        const std::chrono::microseconds step {pollInterval * 4};
+        co_await sleepFor(fault == Fault::Hang ? step : std::min(left, step));
+        const std::lock_guard<std::mutex> lock {mutex_};
+        const bool leaseLost = exclusive && monotonicNow() >= upstream.leases[attempt];
+        const bool told = upstream.refused.contains(attempt);
+        if (upstream.generation != generation || leaseLost || told || stopping_) {
+            stopped = true;
+            break;
+        }
+    }
+    constexpr std::uint32_t okStatus = 200;
+    constexpr std::uint32_t failedStatus = 500;
+    noteEnd(upstream, key, attempt,
+        stopped || fault == Fault::FailEverything ? failedStatus : okStatus);
+    co_return !stopped;
+}
+
+asio::awaitable<bool> StandIn::writeAnswer(Upstream &upstream, beast::tcp_stream &stream,
+    const HttpRequest &request, const AttemptId &attempt)
+{
+    Fault fault = Fault::None;
+    {
+        const std::lock_guard<std::mutex> lock {mutex_};
+        fault = upstream.fault;
+    }
+    HttpResponse response {
+        fault == Fault::FailEverything ? http::status::internal_server_error : http::status::ok,
+        11};
+    const bool crossed = fault == Fault::CrossAnswers;
+    response.set(headers::attempt, crossed ? "someone-else-1" : attempt.value());
+    response.set(http::field::content_type, "application/json");
+    const boost::json::object body {{"upstream", upstream.id.value()}, {"attempt", attempt.value()},
+        {"target", std::string {request.target()}}, {"echo", request.body()}};
+    response.body() = boost::json::serialize(body);
+    response.prepare_payload();
+    boost::system::error_code error;
+    if (fault == Fault::ShortAnswers) {
+        constexpr std::size_t cut = 10;
+        http::response_serializer<http::string_body> serializer {response};
+        co_await http::async_write_header(stream, serializer, errorInto(error));
+        co_await asio::async_write(
+            stream, asio::buffer(response.body().data(), cut), errorInto(error));
+        stream.close();
+        co_return false;
+    }
+    co_await http::async_write(stream, response, errorInto(error));
+    co_return !error && request.keep_alive();
+}
+
+std::string StandIn::announcement(Upstream &upstream)
+{
+    boost::json::array running;
+    boost::json::array finished;
+    const std::lock_guard<std::mutex> lock {mutex_};
+    for (const AttemptId &attempt : upstream.running) {
+        running.emplace_back(attempt.value());
+    }
+    for (const std::pair<const AttemptId, std::uint32_t> &known : upstream.finished) {
+        finished.push_back(
+            boost::json::object {{"attempt", known.first.value()}, {"status", known.second}});
+    }
+    const std::string zone =
+        "zone-" + std::to_string(upstream.number % std::max(options_.zones, 1U));
+    const boost::json::object body {{"environment", options_.environment.value()},
+        {"stage", options_.stage == Stage::Trial ? "trial" : "production"},
+        {"service", options_.service.value()},
+        {"address", boost::json::object {{"ip", "127.0.0.1"}, {"port", upstream.port}}},
+        {"slots", upstream.slots.value()}, {"connections", options_.connections},
+        {"availability_zone", zone}, {"rack", "rack-" + std::to_string(upstream.number / 8)},
+        {"incarnation", upstream.incarnation},
+        {"state", upstream.draining ? "draining" : "serving"}, {"running", std::move(running)},
+        {"finished", std::move(finished)}};
+    return boost::json::serialize(body);
+}
+
+void StandIn::takeReply(Upstream &upstream, const std::string &body, MonotonicTime sent)
+{
+    boost::system::error_code error;
+    const boost::json::value json = boost::json::parse(body, error);
+    if (error || !json.is_object()) {
+        return;
+    }
+    const std::lock_guard<std::mutex> lock {mutex_};
+    for (const boost::json::value &lease : json.at("leases").as_array()) {
+        const AttemptId attempt {std::string {lease.at("attempt").as_string()}};
+        upstream.leases[attempt] = sent + Milliseconds {lease.at("lease_ms").as_int64()};
+    }
+    for (const boost::json::value &stop : json.at("stop").as_array()) {
+        const AttemptId attempt {std::string {stop.as_string()}};
+        upstream.refused.insert(attempt);
+        if (!upstream.running.contains(attempt)) {
+            upstream.finished.try_emplace(attempt, refusedStatus);
+        }
+    }
+    for (const boost::json::value &forget : json.at("forget").as_array()) {
+        upstream.finished.erase(AttemptId {std::string {forget.as_string()}});
+    }
+}
+
+asio::awaitable<void> StandIn::announceOnce(Upstream &upstream)
+{
+    const std::size_t turn = static_cast<std::size_t>(upstream.number)
+        + static_cast<std::size_t>(monotonicNow().time_since_epoch() / options_.interval);
+    const NodeAddress &entry = options_.entries[turn % options_.entries.size()];
+    beast::tcp_stream stream {context_};
+    stream.expires_after(announceLimit);
+    boost::system::error_code error;
+    const Tcp::endpoint endpoint {asio::ip::make_address(entry.ip), entry.port};
+    co_await stream.async_connect(endpoint, errorInto(error));
+    if (error) {
+        co_return;
+    }
+    HttpRequest request {http::verb::put, "/v1/upstreams/" + upstream.id.value(), 11};
+    request.set(http::field::host, "crocusmill");
+    request.body() = announcement(upstream);
+    request.keep_alive(false);
+    request.prepare_payload();
+    const MonotonicTime sent = monotonicNow();
+    co_await http::async_write(stream, request, errorInto(error));
+    beast::flat_buffer buffer;
+    HttpResponse response;
+    co_await http::async_read(stream, buffer, response, errorInto(error));
+    if (!error && response.result() == http::status::ok) {
+        takeReply(upstream, response.body(), sent);
+    }
+}
+
+asio::awaitable<void> StandIn::announceForever(Upstream &upstream)
+{
+    MonotonicTime due = monotonicNow();
+    while (!stopping_) {
+        bool now = monotonicNow() >= due;
+        {
+            const std::lock_guard<std::mutex> lock {mutex_};
+            now = (now || upstream.announceSoon) && !upstream.silent;
+            upstream.announceSoon = false;
+        }
+        if (now) {
+            due = monotonicNow() + options_.interval;
+            co_await announceOnce(upstream);
+        }
+        co_await sleepFor(pollInterval);
+    }
+}
+
+} // namespace crocusmill::standin
--- /dev/null
+++ b/bench/standin_main.cpp
@@ -0,0 +1,65 @@
+/// Plays upstreams until it is told to end: `standin --entry IP:PORT ... [--count N]`.
+
+#include "bench/standin.h"
+
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <iostream>
+
+namespace
+{
+
+namespace options = boost::program_options;
+
+crocusmill::NodeAddress parseAddress(const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    return {text.substr(0, colon),
+        static_cast<std::uint16_t>(std::strtoul(text.c_str() + colon + 1, nullptr, 10))};
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    crocusmill::standin::Options wanted;
+    std::vector<std::string> entries;
+    std::string environment = wanted.environment.value();
+    std::string service = wanted.service.value();
+    std::uint32_t slots = wanted.slots.value();
+    options::options_description description {"standin"};
+    description.add_options()("entry",
+        options::value<std::vector<std::string>>(&entries)->required(),
+        "IP:PORT")("count", options::value<std::uint32_t>(&wanted.count), "upstreams to play")(
+        "slots", options::value<std::uint32_t>(&slots), "slots of each")("environment",
+        options::value<std::string>(&environment),
+        "environment")("service", options::value<std::string>(&service), "service")(
+        "first-port", options::value<std::uint16_t>(&wanted.firstPort), "port of the first");
+    try {
+        options::variables_map values;
+        options::store(options::parse_command_line(argc, argv, description), values);
+        options::notify(values);
+    } catch (const options::error &error) {
+        std::cerr << error.what() << '\n' << description;
+        return 2;
+    }
+    for (const std::string &entry : entries) {
+        wanted.entries.push_back(parseAddress(entry));
+    }
+    wanted.environment = crocusmill::EnvironmentName {environment};
+    wanted.service = crocusmill::ServiceName {service};
+    wanted.slots = crocusmill::SlotCount {slots};
+    crocusmill::standin::StandIn standIn {wanted};
+    if (!standIn.start()) {
+        std::cerr << "cannot listen\n";
+        return 1;
+    }
+    std::cout << "serving" << std::endl;
+    crocusmill::asio::io_context context;
+    crocusmill::asio::signal_set signals {context, SIGTERM, SIGINT};
+    signals.async_wait([](const boost::system::error_code &, int) {});
+    context.run();
+    standIn.stop();
+    return 0;
+}
--- /dev/null
+++ b/include/crocusmill/settings.h
@@ -0,0 +1,116 @@
+/// Settings of one daemon, checked in one pass that reports every fault with its JSON pointer.
+
+#pragma once
+
+#include <crocusmill/consensus.h>
+#include <crocusmill/document.h>
+#include <crocusmill/slots.h>
+
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crocusmill
+{
+
+/// A VM that may hold a voting replica.
+struct VoterSettings
+{
+    VmId vm;
+    NodeAddress address;
+};
+
+struct PeerSettings
+{
+    NodeAddress listen;
+    std::filesystem::path keyFile;
+    std::vector<VoterSettings> voters;
+};
+
+struct StateSettings
+{
+    std::filesystem::path folder;
+    /// A snapshot is taken after this many entries.
+    std::uint64_t snapshotEntries = 20'000;
+    /// Ended work is kept this long for later asks.
+    Milliseconds keepEnded {600'000};
+    /// A member's VM that was not heard this long is replaced where a spare exists.
+    Milliseconds replaceAfter {60'000};
+};
+
+struct EntrySettings
+{
+    NodeAddress listen;
+    std::uint32_t threads = 2;
+    std::uint32_t connections = 4096;
+    ByteCount headerBytes {16ULL * 1024};
+    ByteCount bodyBytes {1024ULL * 1024};
+    ByteCount answerBytes {8ULL * 1024 * 1024};
+    /// A larger body of recorded work's answer is not kept for later asks.
+    ByteCount keptAnswerBytes {64ULL * 1024};
+    Milliseconds idle {60'000};
+    /// A request must have arrived whole within this time of its first byte.
+    Milliseconds receive {10'000};
+    Milliseconds connect {1'000};
+    /// After SIGTERM: how long the balancer may take to notice, and how long work may take.
+    Milliseconds balancerInterval {1'000};
+    Milliseconds drainLimit {30'000};
+};
+
+struct OperatorSettings
+{
+    NodeAddress listen;
+    std::filesystem::path tokenFile;
+};
+
+enum class LogFormat { Text, Json };
+enum class LogLevel { Debug, Info, Warning, Error };
+
+struct LogSettings
+{
+    LogFormat format = LogFormat::Text;
+    LogLevel level = LogLevel::Info;
+};
+
+struct TraceSettings
+{
+    /// Spans are appended here as OTLP-shaped JSON lines; empty: kept in memory only.
+    std::filesystem::path file;
+    /// Spans kept in memory for the operator's tool.
+    std::uint64_t kept = 20'000;
+};
+
+struct TimeSettings
+{
+    Milliseconds beat {250};
+    ConsensusSettings consensus;
+    SlotTimes slots;
+    /// Interval that upstreams and workers are told to announce themselves at, and how long they
+    /// count without an announcement.
+    Milliseconds announceInterval {1'000};
+    Milliseconds announceLife {5'000};
+    Milliseconds exclusiveLease {4'000};
+    /// An entry whose configuration was not confirmed this long takes no work.
+    Milliseconds staleConfiguration {5'000};
+};
+
+struct Settings
+{
+    VmId vm;
+    AvailabilityZone zone;
+    RackId rack;
+    PeerSettings peers;
+    std::optional<StateSettings> state; // absent: no voting replica here
+    EntrySettings entry;
+    std::optional<NodeAddress> announce; // absent: announcements come to the entry's port
+    OperatorSettings operators;
+    LogSettings log;
+    TraceSettings trace;
+    TimeSettings times;
+};
+
+[[nodiscard]] Checked<Settings> parseSettings(std::string_view json);
+
+} // namespace crocusmill
--- /dev/null
+++ b/include/crocusmill/statemachine.h
@@ -0,0 +1,169 @@
+/// The recorded state: environments, the ledger of work, jobs.
+///
+/// Pure and deterministic: replicas that apply the same commands in the same order hold the same
+/// state. Not thread-safe; owned by the control thread.
+
+#pragma once
+
+#include <crocusmill/commands.h>
+#include <crocusmill/error.h>
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crocusmill
+{
+
+struct TriedDocument
+{
+    DocumentVersion version;
+    Digest digest;
+    std::string document;
+    OperatorName by;
+    /// Index of the command that put it there.
+    LogIndex since;
+};
+
+struct EnvironmentState
+{
+    EnvironmentName name;
+    // Invariant: at most keptTrials, oldest first; the last is in force for the trial stage.
+    std::vector<TriedDocument> tried;
+    std::optional<TriedDocument> production;
+};
+
+enum class WorkState { Admitted, Started, Ended, Revoked };
+
+enum class AttemptState { Started, Answered, NotRun, Lost };
+
+struct Attempt
+{
+    AttemptId id;
+    UpstreamId upstream;
+    Incarnation incarnation;
+    AttemptState state = AttemptState::Started;
+};
+
+struct Work
+{
+    WorkId id;
+    EnvironmentName environment;
+    ServiceName service;
+    std::optional<IdempotencyKey> key;
+    Digest digest;
+    WorkClass workClass = WorkClass::Quick;
+    bool repeatable = false;
+    bool exclusive = false;
+    EntryEpoch owner;
+    WallTime admittedAt;
+    WallTime deadline;
+    WallTime endedAt;
+    WorkState state = WorkState::Admitted;
+    bool cancelled = false;
+    // Invariant: all but the last are over when the work is exclusive or not repeatable; all but
+    // the last are NotRun when it is not repeatable.
+    std::vector<Attempt> attempts;
+    std::optional<StoredRequest> request;
+    std::optional<StoredAnswer> answer;
+
+    /// What a caller may be told about it now.
+    [[nodiscard]] Execution execution() const;
+};
+
+enum class TaskState { Waiting, Placed, Done, GivenUp };
+
+struct TaskRecord
+{
+    TaskState state = TaskState::Waiting;
+    std::uint32_t attempt = 0; // number of the newest; zero: never placed
+    std::uint32_t failures = 0;
+    WorkerId worker;
+    Incarnation incarnation;
+};
+
+struct Job
+{
+    SubmitJob spec;
+    std::vector<TaskRecord> tasks;
+    bool cancelled = false;
+};
+
+class StateMachine
+{
+public:
+    /// Applies one command; `index` is its place in the journal.
+    ApplyReply apply(const Command &command, LogIndex index);
+    /// Decodes and applies; an unknown record gets StateError::Undecodable and changes nothing.
+    ApplyReply applyEncoded(std::string_view payload, LogIndex index);
+
+    [[nodiscard]] const std::map<EnvironmentName, EnvironmentState> &environments() const;
+    /// The document in force for production; null when there is none.
+    [[nodiscard]] const Document *production(const EnvironmentName &environment) const;
+    /// Index of the newest command that put any document in force.
+    [[nodiscard]] LogIndex configurationIndex() const;
+    [[nodiscard]] const Work *findWork(const WorkId &id) const;
+    [[nodiscard]] const Work *findKey(
+        const EnvironmentName &environment, const IdempotencyKey &key) const;
+    [[nodiscard]] const std::map<WorkId, Work> &work() const;
+    /// Work that has been admitted and has not ended.
+    [[nodiscard]] const std::set<WorkId> &openWork() const;
+    [[nodiscard]] const Work *findAttempt(const AttemptId &attempt) const;
+    [[nodiscard]] const std::map<JobId, Job> &jobs() const;
+    [[nodiscard]] const std::set<WorkerId> &quarantined() const;
+    [[nodiscard]] std::uint64_t reservedCores(
+        const EnvironmentName &environment, const TeamName &team) const;
+
+    [[nodiscard]] std::string snapshot() const;
+    /// Replaces the whole state. Errors: CodecError::Malformed; the state is then unchanged.
+    [[nodiscard]] Result<void> restore(std::string_view snapshot);
+
+private:
+    ApplyReply on(const TryEnvironment &command);
+    ApplyReply on(const PromoteEnvironment &command);
+    ApplyReply on(const AdmitWork &command);
+    ApplyReply on(const StartWork &command);
+    ApplyReply on(const EndAttempt &command);
+    ApplyReply on(const FinishWork &command);
+    ApplyReply on(const RevokeWork &command);
+    ApplyReply on(const AdoptWork &command);
+    ApplyReply on(const ForgetWork &command);
+    ApplyReply on(const SubmitJob &command);
+    ApplyReply on(const PlaceTasks &command);
+    ApplyReply on(const EndTask &command);
+    ApplyReply on(const CancelJob &command);
+    ApplyReply on(const QuarantineWorker &command);
+
+    [[nodiscard]] bool hostTaken(const Document &document) const;
+    [[nodiscard]] Work *mutableWork(const WorkId &id);
+    void endWork(Work &work, WorkState state, WallTime at);
+    void dropKey(const Work &work);
+    void cacheDocument(const EnvironmentState &environment);
+    void rebuildIndices();
+
+    LogIndex applying_; // index of the command being applied
+    LogIndex configurationIndex_;
+    std::map<EnvironmentName, EnvironmentState> environments_;
+    std::map<WorkId, Work> work_;
+    std::map<JobId, Job> jobs_;
+    std::set<WorkerId> quarantined_;
+    // Derived from work_: keys, attempts that are not over, and work that has not ended.
+    std::map<std::pair<EnvironmentName, IdempotencyKey>, WorkId> keys_;
+    std::map<AttemptId, WorkId> attempts_;
+    std::set<WorkId> open_;
+    // Derived: the documents in force for production, and what placed tasks reserve.
+    std::map<EnvironmentName, Document> documents_;
+    std::map<std::pair<EnvironmentName, TeamName>, std::uint64_t> reservedMilliCores_;
+    // Invariant: every ended work is here once, in the order of ending.
+    std::deque<WorkId> ended_;
+};
+
+[[nodiscard]] std::string encodeCommand(const Command &command);
+/// Errors: CodecError.
+[[nodiscard]] Result<Command> decodeCommand(std::string_view payload);
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/admission/fairqueue.cpp
@@ -0,0 +1,314 @@
+/// The queue that keeps slots for quick work, shares by weight and refuses what would be late.
+
+#include <crocusmill/admission.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+constexpr std::size_t mostWaiting = 20'000;
+constexpr Milliseconds leastRetryAfter {100};
+
+/// Shares of the slots, by emphasis.
+struct Shares
+{
+    double quickReserve; // kept free of long work even when no quick request is there
+    double quickHeadroom; // times the slots that quick arrivals keep busy
+    double refuseAt; // share of the deadline that a quick request may be expected to wait
+};
+
+constexpr Shares packingShares {0.15, 1.5, 0.9};
+constexpr Shares crestShares {0.30, 2.0, 0.6};
+
+/// Requests of one class, in flows by team, each served in proportion to its weight.
+class ClassQueue
+{
+public:
+    void push(const WaitingRequest &request)
+    {
+        Flow &flow = flows_[request.team];
+        flow.weight = std::max<std::uint32_t>(request.weight, 1);
+        if (flow.waiting.empty()) {
+            flow.served = std::max(flow.served, virtualTime_);
+        }
+        flow.waiting.push_back(request);
+        ++size_;
+    }
+
+    void pushFront(const WaitingRequest &request)
+    {
+        Flow &flow = flows_[request.team];
+        flow.weight = std::max<std::uint32_t>(request.weight, 1);
+        flow.waiting.push_front(request);
+        ++size_;
+    }
+
+    /// The flow that was served least for its weight and is under its limit.
+    std::optional<WaitingRequest> take(const ServiceLoad &load, bool newestFirst)
+    {
+        Flow *best = nullptr;
+        for (std::pair<const TeamName, Flow> &known : flows_) {
+            Flow &flow = known.second;
+            if (flow.waiting.empty() || overLimit(known.first, flow, load)) {
+                continue;
+            }
+            if (best == nullptr || flow.served < best->served) {
+                best = &flow;
+            }
+        }
+        if (best == nullptr) {
+            return std::nullopt;
+        }
+        virtualTime_ = best->served;
+        best->served += 1.0 / best->weight;
+        return takeFrom(*best, newestFirst);
+    }
+
+    [[nodiscard]] std::optional<MonotonicTime> oldest() const
+    {
+        std::optional<MonotonicTime> oldest;
+        for (const std::pair<const TeamName, Flow> &known : flows_) {
+            if (!known.second.waiting.empty()) {
+                const MonotonicTime arrived = known.second.waiting.front().arrived;
+                oldest = oldest ? std::min(*oldest, arrived) : arrived;
+            }
+        }
+        return oldest;
+    }
+
+    /// True when the oldest request has waited for more than half of its time.
+    [[nodiscard]] bool overdue(MonotonicTime now) const
+    {
+        for (const std::pair<const TeamName, Flow> &known : flows_) {
+            if (known.second.waiting.empty()) {
+                continue;
+            }
+            const WaitingRequest &first = known.second.waiting.front();
+            if (now - first.arrived > (first.deadline - first.arrived) / 2) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    template <typename Predicate> std::size_t removeIf(Predicate predicate)
+    {
+        std::size_t removed = 0;
+        for (std::pair<const TeamName, Flow> &known : flows_) {
+            removed += std::erase_if(known.second.waiting, predicate);
+        }
+        size_ -= removed;
+        return removed;
+    }
+
+    [[nodiscard]] std::size_t size() const
+    {
+        return size_;
+    }
+
+private:
+    struct Flow
+    {
+        std::deque<WaitingRequest> waiting;
+        std::uint32_t weight = 1;
+        double served = 0; // virtual time of the last request served
+    };
+
+    static bool overLimit(const TeamName &team, const Flow &flow, const ServiceLoad &load)
+    {
+        const std::uint32_t limit = flow.waiting.front().teamSlots.value();
+        const auto used = load.teamInUse.find(team);
+        return limit > 0 && used != load.teamInUse.end() && used->second >= limit;
+    }
+
+    std::optional<WaitingRequest> takeFrom(Flow &flow, bool newestFirst)
+    {
+        WaitingRequest request =
+            std::move(newestFirst ? flow.waiting.back() : flow.waiting.front());
+        if (newestFirst) {
+            flow.waiting.pop_back();
+        } else {
+            flow.waiting.pop_front();
+        }
+        --size_;
+        return request;
+    }
+
+    std::map<TeamName, Flow> flows_;
+    double virtualTime_ = 0;
+    std::size_t size_ = 0;
+};
+
+class FairQueue final : public QueuePolicy
+{
+public:
+    explicit FairQueue(Emphasis emphasis)
+        : shares_(emphasis == Emphasis::Crest ? crestShares : packingShares)
+    {
+    }
+
+    std::optional<Refusal> offer(
+        const WaitingRequest &request, const ServiceLoad &load, MonotonicTime now) override
+    {
+        const Milliseconds wait = estimatedWait(request.workClass, load, now);
+        if (size() >= mostWaiting) {
+            return Refusal {request.id, RefusalReason::QueueFull, retryAfter(wait)};
+        }
+        const bool quick = request.workClass == WorkClass::Quick;
+        const double share = quick ? shares_.refuseAt : 1;
+        const double left = static_cast<double>(
+            std::chrono::duration_cast<Milliseconds>(request.deadline - now).count());
+        if (static_cast<double>(wait.count()) > left * share) {
+            return Refusal {request.id, RefusalReason::DeadlineUnreachable, retryAfter(wait)};
+        }
+        classOf(request.workClass).push(request);
+        return std::nullopt;
+    }
+
+    std::optional<WaitingRequest> take(const ServiceLoad &load, MonotonicTime now) override
+    {
+        const std::uint32_t longCap = longWorkCap(load, now);
+        const std::uint32_t longInUse =
+            load.inUse[indexOf(WorkClass::Heavy)] + load.inUse[indexOf(WorkClass::Deferrable)];
+        const bool longMayRun = longInUse < longCap;
+        if (longMayRun && deferrableIsDue(now)) {
+            std::optional<WaitingRequest> due = classOf(WorkClass::Deferrable).take(load, false);
+            if (due) {
+                return due;
+            }
+        }
+        ClassQueue &quick = classOf(WorkClass::Quick);
+        std::optional<WaitingRequest> request = quick.take(load, quick.overdue(now));
+        if (request || !longMayRun) {
+            return request;
+        }
+        return takeLong(load, longCap, now);
+    }
+
+    void putBack(const WaitingRequest &request) override
+    {
+        classOf(request.workClass).pushFront(request);
+    }
+
+    std::vector<Refusal> expire(MonotonicTime now) override
+    {
+        std::vector<Refusal> refused;
+        for (ClassQueue &queue : classes_) {
+            queue.removeIf([&refused, now](const WaitingRequest &request) {
+                if (now < request.deadline) {
+                    return false;
+                }
+                refused.push_back({request.id, RefusalReason::DeadlinePassed, leastRetryAfter});
+                return true;
+            });
+        }
+        return refused;
+    }
+
+    bool remove(RequestId request) override
+    {
+        std::size_t removed = 0;
+        for (ClassQueue &queue : classes_) {
+            removed += queue.removeIf(
+                [request](const WaitingRequest &waiting) { return waiting.id == request; });
+        }
+        return removed > 0;
+    }
+
+    std::vector<RequestId> removeAll() override
+    {
+        std::vector<RequestId> ids;
+        for (ClassQueue &queue : classes_) {
+            queue.removeIf([&ids](const WaitingRequest &request) {
+                ids.push_back(request.id);
+                return true;
+            });
+        }
+        return ids;
+    }
+
+    std::size_t size() const override
+    {
+        return classes_[0].size() + classes_[1].size() + classes_[2].size();
+    }
+
+private:
+    ClassQueue &classOf(WorkClass workClass)
+    {
+        return classes_[indexOf(workClass)];
+    }
+
+    /// Slots that heavy and deferrable work may use together; at least one.
+    std::uint32_t longWorkCap(const ServiceLoad &load, MonotonicTime now) const
+    {
+        const double busyQuick = load.history[indexOf(WorkClass::Quick)].busySlots(now);
+        const double needed = busyQuick * shares_.quickHeadroom;
+        const double floor = load.slots * shares_.quickReserve;
+        const double most = load.slots / 2.0; // quick work never starves the rest
+        const double kept = std::min(std::max(needed, floor), std::max(most, floor));
+        const std::uint32_t reserve = static_cast<std::uint32_t>(std::ceil(kept));
+        return std::max<std::uint32_t>(load.slots > reserve ? load.slots - reserve : 0, 1);
+    }
+
+    /// Deferrable work lands: once it has used half of its time it goes before quick work.
+    bool deferrableIsDue(MonotonicTime now) const
+    {
+        return classes_[indexOf(WorkClass::Deferrable)].overdue(now);
+    }
+
+    std::optional<WaitingRequest> takeLong(
+        const ServiceLoad &load, std::uint32_t longCap, MonotonicTime now)
+    {
+        // Short deferrable work goes before heavy work within a share of its own.
+        const double busy = load.history[indexOf(WorkClass::Deferrable)].busySlots(now);
+        const std::uint32_t share = std::max<std::uint32_t>(
+            std::min(static_cast<std::uint32_t>(std::ceil(busy)), longCap / 2), 1);
+        const bool deferrableFirst = load.inUse[indexOf(WorkClass::Deferrable)] < share;
+        const WorkClass first = deferrableFirst ? WorkClass::Deferrable : WorkClass::Heavy;
+        const WorkClass second = deferrableFirst ? WorkClass::Heavy : WorkClass::Deferrable;
+        std::optional<WaitingRequest> request = classOf(first).take(load, false);
+        if (!request) {
+            request = classOf(second).take(load, false);
+        }
+        return request;
+    }
+
+    Milliseconds estimatedWait(WorkClass workClass, const ServiceLoad &load, MonotonicTime now)
+    {
+        const ClassQueue &queue = classOf(workClass);
+        const double run = load.history[indexOf(workClass)].runMilliseconds();
+        if (queue.size() == 0 || run == 0 || load.slots == 0) {
+            return Milliseconds {0};
+        }
+        std::uint32_t usable = longWorkCap(load, now);
+        if (workClass == WorkClass::Quick) {
+            const std::uint32_t longInUse =
+                load.inUse[indexOf(WorkClass::Heavy)] + load.inUse[indexOf(WorkClass::Deferrable)];
+            usable = load.slots > longInUse ? load.slots - longInUse : 1;
+        }
+        const double wait = static_cast<double>(queue.size()) * run / usable;
+        return Milliseconds {static_cast<std::int64_t>(wait)};
+    }
+
+    static Milliseconds retryAfter(Milliseconds wait)
+    {
+        return std::max(wait, leastRetryAfter);
+    }
+
+    Shares shares_;
+    std::array<ClassQueue, workClassCount> classes_;
+};
+
+} // namespace
+
+std::unique_ptr<QueuePolicy> makeFairQueue(Emphasis emphasis)
+{
+    return std::make_unique<FairQueue>(emphasis);
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/consensus/consensus.cpp
@@ -0,0 +1,324 @@
+/// Roles and elections of the replicated log, and what the host is told to do.
+
+#include "src/wire/membershipcodec.h"
+
+#include <crocusmill/consensus.h>
+
+#include <algorithm>
+
+namespace crocusmill
+{
+
+Consensus::Consensus(ReplicaId self, ConsensusSettings settings, StoredState stored,
+    std::uint64_t seed, MonotonicTime now)
+    : self_(self)
+    , settings_(settings)
+    , random_(seed)
+    , now_(now)
+    , hard_(stored.hard)
+    , snapshot_(std::move(stored.snapshot))
+    , heardLeader_(now) // before a restart it may just have renewed a leader's lease
+{
+    memberships_[snapshotIndex()] = snapshot_ ? snapshot_->membership : Membership {};
+    for (LogEntry &entry : stored.entries) {
+        recordMembership(entry);
+        log_.push_back(std::move(entry));
+    }
+    unstored_ = next(lastIndex());
+    persisted_ = lastIndex();
+    commit_ = snapshotIndex();
+    applied_ = snapshotIndex();
+    resetElectionDeadline();
+}
+
+void Consensus::tick(MonotonicTime now)
+{
+    now_ = now;
+    if (role_ == ReplicaRole::Leader) {
+        checkQuorum();
+        if (role_ == ReplicaRole::Leader && now_ >= nextHeartbeat_) {
+            broadcast();
+        }
+        return;
+    }
+    if (now_ >= electionDeadline_ && membership().isVoter(self_)) {
+        startElection(true);
+    }
+}
+
+void Consensus::receive(const Message &message, MonotonicTime now)
+{
+    now_ = now;
+    if (message.to != self_) {
+        return; // meant for an earlier data folder of this VM
+    }
+    const VoteRequest *vote = std::get_if<VoteRequest>(&message.body);
+    if (vote != nullptr) {
+        receiveVoteRequest(message, *vote);
+        return;
+    }
+    const VoteReply *voteReply = std::get_if<VoteReply>(&message.body);
+    const bool preVoteGrant = voteReply != nullptr && voteReply->preVote && voteReply->granted;
+    if (message.term > hard_.term && !preVoteGrant) {
+        becomeFollower(message.term, ReplicaId {});
+    }
+    if (voteReply != nullptr) {
+        receiveVoteReply(message, *voteReply);
+    } else if (const AppendRequest *append = std::get_if<AppendRequest>(&message.body)) {
+        receiveAppend(message, *append);
+    } else if (const AppendReply *reply = std::get_if<AppendReply>(&message.body)) {
+        receiveAppendReply(message, *reply);
+    } else if (const InstallRequest *install = std::get_if<InstallRequest>(&message.body)) {
+        receiveInstall(message, *install);
+    }
+}
+
+bool Consensus::hearsLeader() const
+{
+    if (role_ == ReplicaRole::Leader) {
+        return true;
+    }
+    return now_ - heardLeader_ < settings_.electionTimeout;
+}
+
+bool Consensus::logIsCurrent(const VoteRequest &request) const
+{
+    const Term lastTerm = termAt(lastIndex());
+    if (request.lastTerm != lastTerm) {
+        return request.lastTerm > lastTerm;
+    }
+    return request.lastIndex >= lastIndex();
+}
+
+void Consensus::receiveVoteRequest(const Message &message, const VoteRequest &request)
+{
+    // A replica that hears its leader does not help to depose it; the lease rests on this.
+    if (hearsLeader()) {
+        send(message.from, VoteReply {.preVote = request.preVote, .granted = false});
+        return;
+    }
+    if (request.preVote) {
+        const bool granted = message.term > hard_.term && logIsCurrent(request);
+        outbox_.push_back({self_, message.from, granted ? message.term : hard_.term,
+            VoteReply {.preVote = true, .granted = granted}});
+        return;
+    }
+    if (message.term > hard_.term) {
+        becomeFollower(message.term, ReplicaId {});
+    }
+    const bool free = hard_.votedFor == ReplicaId {} || hard_.votedFor == message.from;
+    const bool granted = message.term == hard_.term && free && logIsCurrent(request);
+    if (granted && hard_.votedFor != message.from) {
+        hard_.votedFor = message.from;
+        hardChanged_ = true;
+    }
+    if (granted) {
+        resetElectionDeadline();
+    }
+    send(message.from, VoteReply {.preVote = false, .granted = granted});
+}
+
+void Consensus::receiveVoteReply(const Message &message, const VoteReply &reply)
+{
+    const ReplicaRole expected = reply.preVote ? ReplicaRole::PreCandidate : ReplicaRole::Candidate;
+    const Term asked = reply.preVote ? Term {hard_.term.value() + 1} : hard_.term;
+    if (role_ != expected || !reply.granted || message.term != asked) {
+        return;
+    }
+    if (!membership().isVoter(message.from)) {
+        return;
+    }
+    votes_.insert(message.from);
+    if (votes_.size() < membership().quorum()) {
+        return;
+    }
+    if (reply.preVote) {
+        startElection(false);
+    } else {
+        becomeLeader();
+    }
+}
+
+void Consensus::becomeFollower(Term term, ReplicaId leader)
+{
+    if (term > hard_.term) {
+        hard_ = {term, ReplicaId {}};
+        hardChanged_ = true;
+    }
+    if (role_ == ReplicaRole::Leader) {
+        resetElectionDeadline();
+    }
+    role_ = ReplicaRole::Follower;
+    leader_ = leader;
+    votes_.clear();
+    progress_.clear();
+}
+
+void Consensus::startElection(bool preVote)
+{
+    role_ = preVote ? ReplicaRole::PreCandidate : ReplicaRole::Candidate;
+    leader_ = ReplicaId {};
+    votes_ = {self_};
+    resetElectionDeadline();
+    if (!preVote) {
+        hard_ = {Term {hard_.term.value() + 1}, self_};
+        hardChanged_ = true;
+    }
+    const Term asked = preVote ? Term {hard_.term.value() + 1} : hard_.term;
+    for (const Member &member : membership().members) {
+        if (member.id != self_ && member.role == MemberRole::Voter) {
+            outbox_.push_back(
+                {self_, member.id, asked, VoteRequest {preVote, lastIndex(), termAt(lastIndex())}});
+        }
+    }
+    if (votes_.size() >= membership().quorum()) {
+        if (preVote) {
+            startElection(false);
+        } else {
+            becomeLeader();
+        }
+    }
+}
+
+void Consensus::becomeLeader()
+{
+    role_ = ReplicaRole::Leader;
+    leader_ = self_;
+    ledSince_ = now_;
+    progress_.clear();
+    append(EntryKind::Noop, {});
+    broadcast();
+}
+
+void Consensus::resetElectionDeadline()
+{
+    std::uniform_int_distribution<std::int64_t> spread {0, settings_.electionTimeout.count()};
+    electionDeadline_ = now_ + settings_.electionTimeout + Milliseconds {spread(random_)};
+}
+
+MonotonicTime Consensus::quorumAck() const
+{
+    std::vector<MonotonicTime> acks;
+    for (const Member &member : membership().members) {
+        if (member.role != MemberRole::Voter) {
+            continue;
+        }
+        if (member.id == self_) {
+            acks.push_back(now_);
+            continue;
+        }
+        const auto found = progress_.find(member.id);
+        acks.push_back(found == progress_.end() ? MonotonicTime {} : found->second.lastAck);
+    }
+    if (acks.empty()) {
+        return {};
+    }
+    std::sort(acks.begin(), acks.end(), std::greater<>());
+    return acks[membership().quorum() - 1];
+}
+
+void Consensus::checkQuorum()
+{
+    const MonotonicTime alive = std::max(quorumAck(), ledSince_);
+    if (now_ - alive > 2 * settings_.electionTimeout) {
+        becomeFollower(hard_.term, ReplicaId {});
+    }
+}
+
+bool Consensus::holdsLease(MonotonicTime now) const
+{
+    if (role_ != ReplicaRole::Leader) {
+        return false;
+    }
+    if (membership().voterCount() == 1 && membership().isVoter(self_)) {
+        return true;
+    }
+    return now < quorumAck() + settings_.electionTimeout - settings_.driftMargin;
+}
+
+bool Consensus::isReadyLeader() const
+{
+    return role_ == ReplicaRole::Leader && applied_ > LogIndex {} && termAt(applied_) == hard_.term;
+}
+
+bool Consensus::isLeader() const
+{
+    return role_ == ReplicaRole::Leader;
+}
+
+bool Consensus::caughtUp(ReplicaId id) const
+{
+    const auto found = progress_.find(id);
+    return found != progress_.end() && found->second.match >= commit_;
+}
+
+std::optional<MonotonicTime> Consensus::lastHeard(ReplicaId id) const
+{
+    const auto found = progress_.find(id);
+    if (found == progress_.end() || found->second.lastAck == MonotonicTime {}) {
+        return std::nullopt;
+    }
+    return found->second.lastAck;
+}
+
+Ready Consensus::takeReady()
+{
+    if (replicationDue_ && role_ == ReplicaRole::Leader) {
+        broadcast();
+    }
+    Ready ready;
+    if (hardChanged_) {
+        ready.hard = hard_;
+        hardChanged_ = false;
+    }
+    ready.install = std::exchange(installed_, nullptr);
+    for (; unstored_ <= lastIndex(); unstored_ = next(unstored_)) {
+        ready.append.push_back(entryAt(unstored_));
+    }
+    ready.send = std::exchange(outbox_, {});
+    while (applied_ < commit_) {
+        applied_ = next(applied_);
+        ready.apply.push_back(entryAt(applied_));
+    }
+    return ready;
+}
+
+void Consensus::persisted(LogIndex index)
+{
+    persisted_ = std::max(persisted_, std::min(index, lastIndex()));
+    if (role_ == ReplicaRole::Leader) {
+        advanceCommit();
+    }
+}
+
+void Consensus::send(ReplicaId to, MessageBody body)
+{
+    outbox_.push_back({self_, to, hard_.term, std::move(body)});
+}
+
+ReplicaId Consensus::self() const
+{
+    return self_;
+}
+
+Term Consensus::term() const
+{
+    return hard_.term;
+}
+
+ReplicaId Consensus::leader() const
+{
+    return leader_;
+}
+
+LogIndex Consensus::commitIndex() const
+{
+    return commit_;
+}
+
+LogIndex Consensus::appliedIndex() const
+{
+    return applied_;
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/consensus/replication.cpp
@@ -0,0 +1,372 @@
+/// The log itself: appending, copying to followers, commit, snapshots and membership changes.
+
+#include "src/wire/membershipcodec.h"
+
+#include <crocusmill/consensus.h>
+
+#include <algorithm>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+std::uint64_t toWire(MonotonicTime time)
+{
+    return static_cast<std::uint64_t>(time.time_since_epoch().count());
+}
+
+MonotonicTime fromWire(std::uint64_t sentAt)
+{
+    return MonotonicTime {MonotonicTime::duration {static_cast<std::int64_t>(sentAt)}};
+}
+
+} // namespace
+
+LogIndex Consensus::lastIndex() const
+{
+    return log_.empty() ? snapshotIndex() : log_.back().index;
+}
+
+LogIndex Consensus::snapshotIndex() const
+{
+    return snapshot_ ? snapshot_->index : LogIndex {};
+}
+
+Term Consensus::termAt(LogIndex index) const
+{
+    if (index == snapshotIndex()) {
+        return snapshot_ ? snapshot_->term : Term {};
+    }
+    if (index < snapshotIndex() || index > lastIndex()) {
+        return Term {};
+    }
+    return entryAt(index).term;
+}
+
+const LogEntry &Consensus::entryAt(LogIndex index) const
+{
+    return log_[index.value() - snapshotIndex().value() - 1];
+}
+
+std::vector<LogEntry> Consensus::entriesAfterSnapshot() const
+{
+    return {log_.begin(), log_.end()};
+}
+
+const Membership &Consensus::membership() const
+{
+    return memberships_.rbegin()->second;
+}
+
+const Membership &Consensus::membershipAt(LogIndex index) const
+{
+    auto after = memberships_.upper_bound(index);
+    return std::prev(after)->second;
+}
+
+Result<LogIndex> Consensus::propose(std::string payload)
+{
+    if (role_ != ReplicaRole::Leader) {
+        return ConsensusError::NotLeader;
+    }
+    return append(EntryKind::Command, std::move(payload));
+}
+
+LogIndex Consensus::append(EntryKind kind, std::string payload)
+{
+    LogEntry entry {next(lastIndex()), hard_.term, kind, std::move(payload)};
+    recordMembership(entry);
+    log_.push_back(std::move(entry));
+    replicationDue_ = true;
+    return lastIndex();
+}
+
+void Consensus::recordMembership(const LogEntry &entry)
+{
+    if (entry.kind != EntryKind::Membership) {
+        return;
+    }
+    Result<Membership> decoded = decodeMembership(entry.payload);
+    if (decoded) {
+        memberships_[entry.index] = std::move(decoded.value());
+    }
+}
+
+void Consensus::truncateFrom(LogIndex index)
+{
+    while (!log_.empty() && log_.back().index >= index) {
+        log_.pop_back();
+    }
+    memberships_.erase(memberships_.lower_bound(index), memberships_.end());
+    unstored_ = std::min(unstored_, index);
+    persisted_ = std::min(persisted_, previous(index));
+}
+
+void Consensus::receiveAppend(const Message &message, const AppendRequest &request)
+{
+    if (message.term < hard_.term) {
+        send(message.from, AppendReply {false, lastIndex(), request.previousIndex, request.sentAt});
+        return;
+    }
+    becomeFollower(message.term, message.from);
+    heardLeader_ = now_;
+    resetElectionDeadline();
+    if (request.previousIndex < snapshotIndex()) {
+        // Everything up to the snapshot is committed and so already matches.
+        send(message.from,
+            AppendReply {true, snapshotIndex(), request.previousIndex, request.sentAt});
+        return;
+    }
+    const bool matches = request.previousIndex <= lastIndex()
+        && termAt(request.previousIndex) == request.previousTerm;
+    if (!matches) {
+        const LogIndex hint = std::min(lastIndex(), previous(request.previousIndex));
+        send(message.from,
+            AppendReply {false, std::max(hint, commit_), request.previousIndex, request.sentAt});
+        return;
+    }
+    appendFromLeader(request.entries);
+    const LogIndex matched {request.previousIndex.value() + request.entries.size()};
+    commit_ = std::max(commit_, std::min(request.commit, matched));
+    send(message.from, AppendReply {true, matched, request.previousIndex, request.sentAt});
+}
+
+void Consensus::appendFromLeader(const std::vector<LogEntry> &entries)
+{
+    for (const LogEntry &entry : entries) {
+        if (entry.index <= lastIndex()) {
+            if (termAt(entry.index) == entry.term) {
+                continue;
+            }
+            truncateFrom(entry.index);
+        }
+        recordMembership(entry);
+        log_.push_back(entry);
+    }
+}
+
+void Consensus::receiveInstall(const Message &message, const InstallRequest &request)
+{
+    if (message.term < hard_.term || request.snapshot == nullptr) {
+        return;
+    }
+    becomeFollower(message.term, message.from);
+    heardLeader_ = now_;
+    resetElectionDeadline();
+    const Snapshot &snapshot = *request.snapshot;
+    if (snapshot.index > commit_) {
+        log_.clear();
+        memberships_ = {{snapshot.index, snapshot.membership}};
+        snapshot_ = request.snapshot;
+        installed_ = request.snapshot;
+        commit_ = snapshot.index;
+        applied_ = snapshot.index;
+        persisted_ = snapshot.index;
+        unstored_ = next(snapshot.index);
+    }
+    send(message.from,
+        AppendReply {true, std::max(snapshot.index, commit_), snapshot.index, request.sentAt});
+}
+
+void Consensus::receiveAppendReply(const Message &message, const AppendReply &reply)
+{
+    if (role_ != ReplicaRole::Leader || message.term != hard_.term) {
+        return;
+    }
+    const auto found = progress_.find(message.from);
+    if (found == progress_.end()) {
+        return;
+    }
+    Progress &progress = found->second;
+    progress.lastAck = std::max(progress.lastAck, fromWire(reply.sentAt));
+    const Member *member = membership().find(message.from);
+    if (!reply.accepted) {
+        // Each place is probed once, by one message to this member: were every repeated or
+        // reordered refusal answered, their number would grow without bound.
+        const bool current = progress.probing ? reply.previous == previous(progress.next)
+                                              : reply.previous > progress.match;
+        if (member != nullptr && current) {
+            progress.probing = true;
+            progress.next =
+                std::max(next(progress.match), next(std::min(reply.index, lastIndex())));
+            replicateTo(*member);
+        }
+        return;
+    }
+    if (reply.index > progress.match) {
+        progress.match = std::min(reply.index, lastIndex());
+        progress.snapshotSent = {};
+        progress.next = std::max(progress.next, next(progress.match));
+    }
+    if (progress.probing) {
+        progress.probing = false;
+        progress.next = next(progress.match);
+    }
+    if (member != nullptr && progress.next <= lastIndex()) {
+        replicateTo(*member);
+    }
+    advanceCommit();
+}
+
+void Consensus::broadcast()
+{
+    replicationDue_ = false;
+    nextHeartbeat_ = now_ + settings_.heartbeat;
+    for (const Member &member : membership().members) {
+        if (member.id != self_) {
+            replicateTo(member);
+        }
+    }
+    std::erase_if(progress_, [this](const std::pair<const ReplicaId, Progress> &known) {
+        return membership().find(known.first) == nullptr;
+    });
+}
+
+void Consensus::replicateTo(const Member &member)
+{
+    const auto [found, isNew] =
+        progress_.try_emplace(member.id, Progress {.next = next(lastIndex()), .match = {}});
+    Progress &progress = found->second;
+    if (progress.next <= snapshotIndex()) {
+        sendSnapshot(member.id, progress);
+        return;
+    }
+    AppendRequest request;
+    request.previousIndex = previous(progress.next);
+    request.previousTerm = termAt(request.previousIndex);
+    request.commit = commit_;
+    request.sentAt = toWire(now_);
+    request.entries = entriesFrom(progress.next);
+    if (!progress.probing) {
+        progress.next = LogIndex {progress.next.value() + request.entries.size()};
+    }
+    send(member.id, std::move(request));
+}
+
+void Consensus::sendSnapshot(ReplicaId to, Progress &progress)
+{
+    if (progress.snapshotSent != MonotonicTime {}
+        && now_ - progress.snapshotSent < settings_.snapshotResend) {
+        return;
+    }
+    progress.snapshotSent = now_;
+    send(to, InstallRequest {snapshot_, toWire(now_)});
+}
+
+std::vector<LogEntry> Consensus::entriesFrom(LogIndex first) const
+{
+    std::vector<LogEntry> entries;
+    std::uint64_t bytes = 0;
+    for (LogIndex index = first; index <= lastIndex(); index = next(index)) {
+        const LogEntry &entry = entryAt(index);
+        bytes += entry.payload.size() + sizeof(LogEntry);
+        if (!entries.empty() && bytes > settings_.maxAppend.value()) {
+            break;
+        }
+        entries.push_back(entry);
+    }
+    return entries;
+}
+
+void Consensus::advanceCommit()
+{
+    std::vector<LogIndex> matches;
+    for (const Member &member : membership().members) {
+        if (member.role != MemberRole::Voter) {
+            continue;
+        }
+        if (member.id == self_) {
+            matches.push_back(persisted_);
+            continue;
+        }
+        const auto found = progress_.find(member.id);
+        matches.push_back(found == progress_.end() ? LogIndex {} : found->second.match);
+    }
+    if (matches.empty()) {
+        return;
+    }
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    const LogIndex agreed = matches[membership().quorum() - 1];
+    // Only an entry of the current term commits by counting; older ones commit with it.
+    if (agreed > commit_ && termAt(agreed) == hard_.term) {
+        commit_ = agreed;
+        if (!membershipAt(commit_).isVoter(self_)) {
+            becomeFollower(hard_.term, ReplicaId {});
+        }
+    }
+}
+
+void Consensus::compact(SnapshotPtr snapshot)
+{
+    if (snapshot->index <= snapshotIndex() || snapshot->index > applied_) {
+        return;
+    }
+    const LogIndex upTo = snapshot->index;
+    while (!log_.empty() && log_.front().index <= upTo) {
+        log_.pop_front();
+    }
+    const Membership at = membershipAt(upTo);
+    memberships_.erase(memberships_.begin(), memberships_.upper_bound(upTo));
+    memberships_[upTo] = at;
+    snapshot_ = std::move(snapshot);
+}
+
+Result<void> Consensus::mayChangeMembership() const
+{
+    if (role_ != ReplicaRole::Leader) {
+        return ConsensusError::NotLeader;
+    }
+    if (termAt(commit_) != hard_.term || memberships_.rbegin()->first > commit_) {
+        return ConsensusError::ChangeInProgress;
+    }
+    return success();
+}
+
+Result<LogIndex> Consensus::changeMembership(const Membership &changed)
+{
+    if (changed.voterCount() == 0) {
+        return ConsensusError::TooFewVoters;
+    }
+    return append(EntryKind::Membership, encodeMembership(changed));
+}
+
+Result<LogIndex> Consensus::addLearner(const Member &member)
+{
+    BOOST_OUTCOME_TRY(mayChangeMembership());
+    if (membership().find(member.id) != nullptr) {
+        return ConsensusError::AlreadyMember;
+    }
+    Membership changed = membership();
+    changed.members.push_back(member);
+    changed.members.back().role = MemberRole::Learner;
+    return changeMembership(changed);
+}
+
+Result<LogIndex> Consensus::promoteLearner(ReplicaId id)
+{
+    BOOST_OUTCOME_TRY(mayChangeMembership());
+    Membership changed = membership();
+    for (Member &member : changed.members) {
+        if (member.id == id && member.role == MemberRole::Learner) {
+            member.role = MemberRole::Voter;
+            return changeMembership(changed);
+        }
+    }
+    return ConsensusError::NoSuchMember;
+}
+
+Result<LogIndex> Consensus::removeMember(ReplicaId id)
+{
+    BOOST_OUTCOME_TRY(mayChangeMembership());
+    Membership changed = membership();
+    const std::size_t removed =
+        std::erase_if(changed.members, [id](const Member &member) { return member.id == id; });
+    if (removed == 0) {
+        return ConsensusError::NoSuchMember;
+    }
+    return changeMembership(changed);
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/ctl/client.cpp
@@ -0,0 +1,110 @@
+/// One HTTP request at a time, with a limit on how long it may take.
+
+#include "src/ctl/client.h"
+
+#include "src/net/asio.h"
+
+namespace crocusmill
+{
+
+std::string_view ErrorText<ctl::ClientError>::text(ctl::ClientError error)
+{
+    switch (error) {
+    case ctl::ClientError::BadAddress:
+        return "the server is not given as IP:PORT";
+    case ctl::ClientError::Unreachable:
+        return "the server cannot be reached";
+    case ctl::ClientError::NoAnswer:
+        return "no answer came, so the outcome is unknown";
+    }
+    return "unknown client error";
+}
+
+} // namespace crocusmill
+
+namespace crocusmill::ctl
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds limit {10};
+constexpr std::uint64_t mostAnswerBytes = 256ULL * 1024 * 1024;
+
+Answer exchange(beast::tcp_stream &stream, http::request<http::string_body> &request,
+    boost::system::error_code &error)
+{
+    http::write(stream, request, error);
+    if (error) {
+        return {};
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(mostAnswerBytes);
+    http::read(stream, buffer, parser, error);
+    return {parser.get().result_int(), parser.get().body()};
+}
+
+} // namespace
+
+Client::Client(NodeAddress server, std::string token, std::string operatorName)
+    : server_(std::move(server))
+    , token_(std::move(token))
+    , operatorName_(std::move(operatorName))
+{
+}
+
+Result<Answer> Client::request(
+    const std::string &method, const std::string &target, const std::string &body) const
+{
+    asio::io_context context;
+    beast::tcp_stream stream {context};
+    boost::system::error_code error;
+    const Tcp::endpoint endpoint {asio::ip::make_address(server_.ip, error), server_.port};
+    if (error) {
+        return ClientError::BadAddress;
+    }
+    stream.socket().connect(endpoint, error);
+    if (error) {
+        return ClientError::Unreachable;
+    }
+    const timeval receiveLimit {limit.count(), 0};
+    ::setsockopt(stream.socket().native_handle(), SOL_SOCKET, SO_RCVTIMEO, &receiveLimit,
+        sizeof receiveLimit);
+    http::request<http::string_body> request;
+    constexpr unsigned int http11 = 11;
+    request.version(http11);
+    request.method_string(method);
+    request.target(target);
+    request.set(http::field::host, server_.ip);
+    request.set(http::field::authorization, "Bearer " + token_);
+    request.set("Crocusmill-Operator", operatorName_);
+    request.body() = body;
+    request.keep_alive(false);
+    request.prepare_payload();
+    Answer answer = exchange(stream, request, error);
+    if (error) {
+        return ClientError::NoAnswer;
+    }
+    return answer;
+}
+
+Result<NodeAddress> parseServer(const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return ClientError::BadAddress;
+    }
+    constexpr int decimal = 10;
+    constexpr unsigned long mostPort = 65'535;
+    char *end = nullptr;
+    const unsigned long port = std::strtoul(text.c_str() + colon + 1, &end, decimal);
+    boost::system::error_code error;
+    const asio::ip::address address = asio::ip::make_address(text.substr(0, colon), error);
+    if (error || *end != '\0' || port == 0 || port > mostPort) {
+        return ClientError::BadAddress;
+    }
+    return NodeAddress {address.to_string(), static_cast<std::uint16_t>(port)};
+}
+
+} // namespace crocusmill::ctl
--- /dev/null
+++ b/src/ctl/commands.cpp
@@ -0,0 +1,358 @@
+/// Commands as requests, and their answers as text or JSON.
+
+#include "src/ctl/commands.h"
+
+#include "src/ctl/table.h"
+
+#include <crocusmill/settings.h>
+
+#include <boost/json.hpp>
+
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+namespace crocusmill::ctl
+{
+
+namespace
+{
+
+constexpr Milliseconds waitLimit {15'000};
+constexpr Milliseconds waitPoll {50};
+constexpr unsigned int conflictStatus = 409;
+constexpr unsigned int outcomeUnknownStatus = 503;
+constexpr unsigned int firstErrorStatus = 400;
+
+struct Request
+{
+    std::string method;
+    std::string target;
+    std::string body;
+};
+
+struct Context
+{
+    const Client &client;
+    const Invocation &invocation;
+    std::ostream &out;
+    std::ostream &errors;
+};
+
+ExitCode usage(Context &context)
+{
+    context.errors << commandHelp();
+    return ExitCode::Usage;
+}
+
+ExitCode exitFor(const std::error_code &error)
+{
+    return error == ClientError::NoAnswer ? ExitCode::Unknown : ExitCode::Unreachable;
+}
+
+ExitCode report(Context &context, const Result<Answer> &answer)
+{
+    if (!answer) {
+        context.errors << answer.error().message() << '\n';
+        return exitFor(answer.error());
+    }
+    const Answer &known = answer.value();
+    if (known.status >= firstErrorStatus) {
+        context.errors << known.body << '\n';
+        if (known.status == conflictStatus) {
+            return ExitCode::Conflict;
+        }
+        return known.status == outcomeUnknownStatus ? ExitCode::Unknown : ExitCode::Refused;
+    }
+    if (context.invocation.output == Output::Json) {
+        context.out << known.body << '\n';
+    } else {
+        printAsText(known.body, context.out);
+    }
+    return ExitCode::Done;
+}
+
+ExitCode send(Context &context, const Request &request)
+{
+    return report(context, context.client.request(request.method, request.target, request.body));
+}
+
+Result<boost::json::value> fetch(const Client &client, const std::string &target)
+{
+    BOOST_OUTCOME_TRY(const Answer answer, client.request("GET", target, {}));
+    if (answer.status >= firstErrorStatus) {
+        return ClientError::NoAnswer;
+    }
+    boost::system::error_code error;
+    boost::json::value json = boost::json::parse(answer.body, error);
+    if (error) {
+        return ClientError::NoAnswer;
+    }
+    return json;
+}
+
+/// Digests of the documents tried under a version, each once.
+std::vector<std::string> triedDigests(
+    const boost::json::value &environments, const std::string &name, std::uint64_t version)
+{
+    std::vector<std::string> digests;
+    for (const boost::json::value &environment : environments.as_array()) {
+        if (environment.at("name").as_string() != std::string_view {name}) {
+            continue;
+        }
+        for (const boost::json::value &tried : environment.at("tried").as_array()) {
+            if (tried.at("version").to_number<std::uint64_t>() == version) {
+                digests.emplace_back(tried.at("digest").as_string());
+            }
+        }
+    }
+    return digests;
+}
+
+bool everyVmHas(const boost::json::value &status, std::uint64_t index)
+{
+    for (const boost::json::value &vm : status.at("vms").as_array()) {
+        if (vm.at("configuration").to_number<std::uint64_t>() < index) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// Waits until every VM that beats reports the configuration that is in force now.
+ExitCode waitInForce(Context &context)
+{
+    const MonotonicTime until = std::chrono::steady_clock::now() + waitLimit;
+    std::uint64_t wanted = 0;
+    while (std::chrono::steady_clock::now() < until) {
+        const Result<boost::json::value> status = fetch(context.client, "/v1/status");
+        if (status) {
+            if (wanted == 0) {
+                wanted = status.value().at("configuration").to_number<std::uint64_t>();
+            }
+            if (everyVmHas(status.value(), wanted)) {
+                context.errors << "in force on every VM\n";
+                return ExitCode::Done;
+            }
+        }
+        std::this_thread::sleep_for(waitPoll);
+    }
+    context.errors << "promoted, but not confirmed by every VM in time\n";
+    return ExitCode::Unknown;
+}
+
+ExitCode promote(Context &context, const std::string &name)
+{
+    const Invocation &invocation = context.invocation;
+    if (invocation.version == 0) {
+        return usage(context);
+    }
+    std::string digest = invocation.digest;
+    if (digest.empty()) {
+        const Result<boost::json::value> environments = fetch(context.client, "/v1/environments");
+        if (!environments) {
+            context.errors << environments.error().message() << '\n';
+            return ExitCode::Unreachable;
+        }
+        const std::vector<std::string> digests =
+            triedDigests(environments.value(), name, invocation.version);
+        if (digests.size() != 1) {
+            context.errors << digests.size()
+                           << " documents were tried under this version; give --digest\n";
+            return ExitCode::Refused;
+        }
+        digest = digests.front();
+    }
+    const boost::json::object body {{"version", invocation.version}, {"digest", digest}};
+    const ExitCode promoted = send(
+        context, {"POST", "/v1/environments/" + name + "/promote", boost::json::serialize(body)});
+    if (promoted != ExitCode::Done || !invocation.wait) {
+        return promoted;
+    }
+    return waitInForce(context);
+}
+
+ExitCode tryDocument(Context &context, const std::string &file)
+{
+    std::ifstream in {file};
+    if (!in) {
+        context.errors << "cannot read " << file << '\n';
+        return ExitCode::Usage;
+    }
+    std::ostringstream content;
+    content << in.rdbuf();
+    return send(context, {"POST", "/v1/environments/trial", content.str()});
+}
+
+const boost::json::value *findNamed(const boost::json::value &list, const std::string &name)
+{
+    for (const boost::json::value &item : list.as_array()) {
+        if (item.at("name").as_string() == std::string_view {name}) {
+            return &item;
+        }
+    }
+    return nullptr;
+}
+
+ExitCode showEnvironment(Context &context, const std::string &name, bool difference)
+{
+    const Result<boost::json::value> environments = fetch(context.client, "/v1/environments");
+    if (!environments) {
+        context.errors << environments.error().message() << '\n';
+        return ExitCode::Unreachable;
+    }
+    const boost::json::value *found = findNamed(environments.value(), name);
+    if (found == nullptr) {
+        context.errors << "no such environment\n";
+        return ExitCode::Refused;
+    }
+    if (!difference) {
+        return report(context, Answer {200, boost::json::serialize(*found)});
+    }
+    const boost::json::value *production = found->as_object().if_contains("production");
+    const boost::json::array &tried = found->at("tried").as_array();
+    context.out << "--- production\n"
+                << (production == nullptr ? std::string {}
+                                          : std::string {production->at("document").as_string()})
+                << "\n+++ trial\n"
+                << (tried.empty() ? std::string {}
+                                  : std::string {tried.back().at("document").as_string()})
+                << '\n';
+    return ExitCode::Done;
+}
+
+ExitCode runEnvironment(Context &context, const std::vector<std::string> &words)
+{
+    const std::string &verb = words[1];
+    if (verb == "list" && words.size() == 2) {
+        return send(context, {"GET", "/v1/environments", {}});
+    }
+    if (words.size() != 3) {
+        return usage(context);
+    }
+    if (verb == "trial") {
+        return tryDocument(context, words[2]);
+    }
+    if (verb == "promote") {
+        return promote(context, words[2]);
+    }
+    if (verb == "show" || verb == "diff") {
+        return showEnvironment(context, words[2], verb == "diff");
+    }
+    return usage(context);
+}
+
+struct Simple
+{
+    std::string_view noun;
+    std::string_view verb;
+    bool takesSubject;
+    std::string_view method;
+    std::string_view prefix;
+    std::string_view suffix;
+    std::string_view body;
+};
+
+/// Commands that are one request each; a subject goes between prefix and suffix.
+constexpr Simple simpleCommands[] = {
+    {"vm", "list", false, "GET", "/v1/vms", "", ""},
+    {"vm", "drain", false, "POST", "/v1/vm/drain", "", ""},
+    {"state", "members", false, "GET", "/v1/members", "", ""},
+    {"state", "replace", true, "POST", "/v1/members/", "/replace", ""},
+    {"upstream", "list", false, "GET", "/v1/upstreams", "", ""},
+    {"upstream", "drain", true, "POST", "/v1/upstreams/", "/drain", ""},
+    {"worker", "list", false, "GET", "/v1/workers", "", ""},
+    {"worker", "drain", true, "POST", "/v1/workers/", "/drain", ""},
+    {"worker", "quarantine", true, "POST", "/v1/workers/", "/quarantine", "on"},
+    {"worker", "release", true, "POST", "/v1/workers/", "/quarantine", "off"},
+    {"job", "list", false, "GET", "/v1/jobs", "", ""},
+    {"job", "cancel", true, "DELETE", "/v1/jobs/", "", ""},
+    {"work", "show", true, "GET", "/v1/work/", "", ""},
+    {"work", "cancel", true, "DELETE", "/v1/work/", "", ""},
+    {"trace", "show", true, "GET", "/v1/traces/", "", ""},
+};
+
+ExitCode runSimple(Context &context, const std::vector<std::string> &words)
+{
+    for (const Simple &command : simpleCommands) {
+        const std::size_t size = command.takesSubject ? 3 : 2;
+        if (words[0] != command.noun || words[1] != command.verb || words.size() != size) {
+            continue;
+        }
+        std::string target {command.prefix};
+        if (command.takesSubject) {
+            target += words[2] + std::string {command.suffix};
+        }
+        return send(context, {std::string {command.method}, target, std::string {command.body}});
+    }
+    return usage(context);
+}
+
+} // namespace
+
+ExitCode runCommand(
+    const Client &client, const Invocation &invocation, std::ostream &out, std::ostream &errors)
+{
+    Context context {client, invocation, out, errors};
+    const std::vector<std::string> &words = invocation.words;
+    if (words.size() == 1 && words[0] == "status") {
+        return send(context, {"GET", "/v1/status", {}});
+    }
+    if (words.size() < 2) {
+        return usage(context);
+    }
+    if (words[0] == "environment") {
+        return runEnvironment(context, words);
+    }
+    return runSimple(context, words);
+}
+
+ExitCode checkSettings(
+    const std::string &file, Output output, std::ostream &out, std::ostream &errors)
+{
+    std::ifstream in {file};
+    if (!in) {
+        errors << "cannot read " << file << '\n';
+        return ExitCode::Usage;
+    }
+    std::ostringstream content;
+    content << in.rdbuf();
+    const Checked<Settings> checked = parseSettings(content.str());
+    const Faults *faults = std::get_if<Faults>(&checked);
+    boost::json::array list;
+    if (faults != nullptr) {
+        for (const Fault &fault : *faults) {
+            list.push_back(boost::json::object {{"pointer", fault.pointer},
+                {"fault", text(fault.kind)}, {"expected", fault.expected}});
+        }
+    }
+    if (output == Output::Json) {
+        out << boost::json::serialize(list) << '\n';
+    } else {
+        printAsText(boost::json::serialize(list), out);
+    }
+    return faults == nullptr ? ExitCode::Done : ExitCode::Usage;
+}
+
+std::string commandHelp()
+{
+    return R"(crocusmillctl [options] COMMAND
+
+  status                               the VMs, what is in force on each, the leader
+  environment trial FILE               put a document in force for the trial stage
+  environment promote NAME --version N [--digest D] [--wait]
+  environment list | show NAME | diff NAME
+  vm list | drain                      drain: the VM asked, as by SIGTERM
+  state members | replace VM
+  upstream list | drain ID
+  worker list | drain ID | quarantine ID | release ID
+  job list | cancel ID
+  work show ID | cancel ID
+  trace show ID
+  settings check FILE
+
+Exit codes: 0 done, 1 failed, 2 usage, 3 refused, 4 conflict, 5 unreachable, 6 outcome unknown.
+)";
+}
+
+} // namespace crocusmill::ctl
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,189 @@
+/// The life of one process.
+
+#include "src/daemon/daemon.h"
+
+#include "src/net/log.h"
+#include "src/services/clientservice.h"
+#include "src/services/entryservice.h"
+#include "src/services/journalservice.h"
+#include "src/services/leaderservice.h"
+#include "src/services/operators.h"
+#include "src/services/peerservice.h"
+
+#include <csignal>
+#include <fstream>
+#include <random>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+constexpr Milliseconds finishPoll {20};
+
+ReplicaId freshReplicaId()
+{
+    std::random_device random;
+    // 53 bits, so that JSON tools which keep numbers as doubles show it unchanged.
+    constexpr std::uint64_t mask = (1ULL << 53U) - 1;
+    const std::uint64_t id = ((std::uint64_t {random()} << 32U) ^ random()) & mask;
+    return ReplicaId {id == 0 ? 1 : id};
+}
+
+} // namespace
+
+enum class TokenError { Unreadable = 1, TooShort };
+
+template <> struct ErrorText<TokenError>
+{
+    static constexpr const char *category = "token";
+    static std::string_view text(TokenError error)
+    {
+        return error == TokenError::Unreadable ? "the token file cannot be read"
+                                               : "the token has fewer than 16 bytes";
+    }
+};
+
+namespace
+{
+
+Result<std::string> readToken(const std::filesystem::path &file)
+{
+    constexpr std::size_t leastBytes = 16;
+    std::ifstream in {file};
+    std::string token;
+    if (!in || !std::getline(in, token)) {
+        return TokenError::Unreadable;
+    }
+    if (token.size() < leastBytes) {
+        return TokenError::TooShort;
+    }
+    return token;
+}
+
+} // namespace
+
+Daemon::Daemon(Settings settings)
+    : settings_(std::move(settings))
+    , tracer_(settings_.trace, settings_.vm)
+    , signals_(loop_.context(), SIGTERM, SIGINT)
+    , shutdownTimer_(loop_.context())
+{
+    for (std::uint32_t i = 0; i < settings_.entry.threads; ++i) {
+        traffic_.push_back(std::make_unique<asio::io_context>(1));
+    }
+}
+
+Daemon::~Daemon() = default;
+
+Result<void> Daemon::assemble()
+{
+    asio::io_context &control = loop_.context();
+    std::vector<asio::io_context *> traffic;
+    for (const std::unique_ptr<asio::io_context> &context : traffic_) {
+        traffic.push_back(context.get());
+    }
+    BOOST_OUTCOME_TRY(std::unique_ptr<PeerKey> key, PeerKey::load(settings_.peers.keyFile));
+    BOOST_OUTCOME_TRY(std::string token, readToken(settings_.operators.tokenFile));
+    std::unique_ptr<Storage> storage;
+    ReplicaId replica;
+    if (settings_.state) {
+        BOOST_OUTCOME_TRY(storage, openFileStorage(settings_.state->folder, freshReplicaId()));
+        replica = storage->identity();
+    }
+    kernel_.add(makePeerService(loop_, settings_.peers, std::move(key)));
+    kernel_.add(makeJournalService(control, settings_, std::move(storage)));
+    kernel_.add(makeLeaderService(control, settings_));
+    kernel_.add(makeClientService(control, settings_));
+    kernel_.add(makeEntryService(control, settings_, replica));
+    kernel_.add(makeIngressService(control, traffic, settings_, metrics_, tracer_));
+    kernel_.add(makeOperatorService(control, traffic, settings_, std::move(token), metrics_,
+        tracer_, [this]() { asio::post(loop_.context(), [this]() { beginShutdown(); }); }));
+    return kernel_.start();
+}
+
+void Daemon::startTraffic()
+{
+    for (const std::unique_ptr<asio::io_context> &context : traffic_) {
+        threads_.emplace_back([&io = *context]() {
+            const asio::executor_work_guard<asio::io_context::executor_type> work =
+                asio::make_work_guard(io);
+            io.run();
+        });
+    }
+}
+
+void Daemon::stopTraffic()
+{
+    for (const std::unique_ptr<asio::io_context> &context : traffic_) {
+        context->stop();
+    }
+    for (std::thread &thread : threads_) {
+        thread.join();
+    }
+    threads_.clear();
+}
+
+Result<void> Daemon::run()
+{
+    Result<void> outcome = success();
+    asio::post(loop_.context(), [this, &outcome]() {
+        outcome = assemble();
+        if (!outcome) {
+            loop_.stop();
+            return;
+        }
+        startTraffic();
+        awaitSignal();
+        logInfo("daemon.started");
+    });
+    loop_.run([this]() {
+        stopTraffic();
+        kernel_.stop();
+    });
+    return outcome;
+}
+
+void Daemon::awaitSignal()
+{
+    signals_.async_wait([this](const boost::system::error_code &error, int /*signal*/) {
+        if (!error) {
+            beginShutdown();
+        }
+    });
+}
+
+void Daemon::beginShutdown()
+{
+    if (shuttingDown_) {
+        return;
+    }
+    shuttingDown_ = true;
+    logInfo("daemon.draining");
+    kernel_.find<Entry>(names::entry)->drain();
+    shutdownTimer_.expires_after(settings_.entry.balancerInterval);
+    shutdownTimer_.async_wait([this](const boost::system::error_code & /*error*/) {
+        kernel_.find<Ingress>(names::ingress)->stopAccepting();
+        awaitFinished(std::chrono::steady_clock::now() + settings_.entry.drainLimit);
+    });
+}
+
+void Daemon::awaitFinished(MonotonicTime limit)
+{
+    const std::size_t left = kernel_.find<Ingress>(names::ingress)->inProgress();
+    const bool late = std::chrono::steady_clock::now() >= limit;
+    if (left == 0 || late) {
+        if (left > 0) {
+            logWarning("daemon.drain_limit_reached", {{"unfinished", std::uint64_t {left}}});
+        }
+        logInfo("daemon.stopped");
+        loop_.stop();
+        return;
+    }
+    shutdownTimer_.expires_after(finishPoll);
+    shutdownTimer_.async_wait(
+        [this, limit](const boost::system::error_code & /*error*/) { awaitFinished(limit); });
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,51 @@
+/// Assembles the services of one process and runs them until it is told to end.
+
+#pragma once
+
+#include "src/net/controlloop.h"
+#include "src/net/metrics.h"
+#include "src/net/tracing.h"
+#include "src/services/ingress.h"
+#include "src/services/interfaces.h"
+
+#include <crocusmill/settings.h>
+
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace crocusmill
+{
+
+class Daemon
+{
+public:
+    explicit Daemon(Settings settings);
+    ~Daemon();
+
+    /// Runs on the calling thread, which becomes the control thread, until SIGTERM or SIGINT has
+    /// been followed through. Errors: those of the services' start.
+    [[nodiscard]] Result<void> run();
+
+private:
+    [[nodiscard]] Result<void> assemble();
+    void startTraffic();
+    void stopTraffic();
+    void awaitSignal();
+    /// Not ready; after the balancer's interval no new connections; then until all is finished.
+    void beginShutdown();
+    void awaitFinished(MonotonicTime limit);
+
+    Settings settings_;
+    ControlLoop loop_;
+    Metrics metrics_;
+    Tracer tracer_;
+    Kernel kernel_;
+    std::vector<std::unique_ptr<asio::io_context>> traffic_;
+    std::vector<std::thread> threads_;
+    asio::signal_set signals_;
+    asio::steady_timer shutdownTimer_;
+    bool shuttingDown_ = false;
+};
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/kernel/kernel.cpp
@@ -0,0 +1,66 @@
+/// Start order and look-up of services.
+
+#include <crocusmill/kernel.h>
+
+#include <algorithm>
+
+namespace crocusmill
+{
+
+std::string_view ErrorText<KernelError>::text(KernelError error)
+{
+    return error == KernelError::UnknownService ? "a needed service is missing"
+                                                : "services need each other in a circle";
+}
+
+void Kernel::add(std::unique_ptr<Service> service)
+{
+    const std::string name {service->name()};
+    services_[name] = std::move(service);
+}
+
+Result<void> Kernel::start()
+{
+    for (const std::pair<const std::string, std::unique_ptr<Service>> &known : services_) {
+        std::vector<std::string_view> path;
+        const Result<void> visited = visit(known.first, path);
+        if (!visited) {
+            stop();
+            return visited;
+        }
+    }
+    return success();
+}
+
+Result<void> Kernel::visit(std::string_view name, std::vector<std::string_view> &path)
+{
+    const auto found = services_.find(name);
+    if (found == services_.end()) {
+        return KernelError::UnknownService;
+    }
+    Service *service = found->second.get();
+    if (std::find(started_.begin(), started_.end(), service) != started_.end()) {
+        return success();
+    }
+    if (std::find(path.begin(), path.end(), name) != path.end()) {
+        return KernelError::DependencyCycle;
+    }
+    path.push_back(name);
+    for (const std::string_view need : service->needs()) {
+        BOOST_OUTCOME_TRY(visit(need, path));
+    }
+    path.pop_back();
+    BOOST_OUTCOME_TRY(service->start(*this));
+    started_.push_back(service);
+    return success();
+}
+
+void Kernel::stop()
+{
+    while (!started_.empty()) {
+        started_.back()->stop();
+        started_.pop_back();
+    }
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/net/httpserver.cpp
@@ -0,0 +1,352 @@
+/// Connections of callers, upstreams and operators.
+
+#include "src/net/httpserver.h"
+
+#include <boost/json.hpp>
+
+#include <sys/socket.h>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+HttpResponse problemFor(HttpError error)
+{
+    Problem problem;
+    problem.execution = "not_run";
+    problem.detail = std::string {ErrorText<HttpError>::text(error)};
+    problem.title = "The request was not taken in";
+    switch (error) {
+    case HttpError::HeaderTooLarge:
+        problem.status = http::status::request_header_fields_too_large;
+        problem.type = "header-too-large";
+        break;
+    case HttpError::BodyTooLarge:
+        problem.status = http::status::payload_too_large;
+        problem.type = "body-too-large";
+        break;
+    case HttpError::TooSlow:
+        problem.status = http::status::request_timeout;
+        problem.type = "too-slow";
+        break;
+    case HttpError::TooManyConnections:
+        problem.status = http::status::service_unavailable;
+        problem.type = "too-many-connections";
+        break;
+    case HttpError::CannotListen:
+    case HttpError::Malformed:
+        problem.status = http::status::bad_request;
+        problem.type = "malformed";
+        break;
+    }
+    return problemResponse(problem);
+}
+
+HttpError classify(const boost::system::error_code &error)
+{
+    if (error == http::error::header_limit) {
+        return HttpError::HeaderTooLarge;
+    }
+    if (error == http::error::body_limit) {
+        return HttpError::BodyTooLarge;
+    }
+    if (error == beast::error::timeout) {
+        return HttpError::TooSlow;
+    }
+    return HttpError::Malformed;
+}
+
+bool hungUp(Tcp::socket &socket)
+{
+    char byte = 0;
+    return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+} // namespace
+
+std::string_view ErrorText<HttpError>::text(HttpError error)
+{
+    switch (error) {
+    case HttpError::CannotListen:
+        return "cannot listen on the address";
+    case HttpError::HeaderTooLarge:
+        return "the header is larger than allowed";
+    case HttpError::BodyTooLarge:
+        return "the body is larger than allowed";
+    case HttpError::Malformed:
+        return "not a valid HTTP request";
+    case HttpError::TooSlow:
+        return "the request did not arrive in time";
+    case HttpError::TooManyConnections:
+        return "too many connections are open";
+    }
+    return "unknown HTTP error";
+}
+
+void CallerWatch::onGone(std::function<void()> handler)
+{
+    handler_ = std::move(handler);
+    if (isGone_ && handler_) {
+        std::exchange(handler_, nullptr)();
+    }
+}
+
+void CallerWatch::gone()
+{
+    isGone_ = true;
+    if (handler_) {
+        std::exchange(handler_, nullptr)();
+    }
+}
+
+HttpServer::HttpServer(
+    std::vector<asio::io_context *> contexts, HttpLimits limits, HttpHandler &handler)
+    : contexts_(std::move(contexts))
+    , limits_(limits)
+    , handler_(handler)
+    , acceptor_(*contexts_.front())
+{
+}
+
+Result<void> HttpServer::listen(const NodeAddress &address)
+{
+    boost::system::error_code error;
+    const Tcp::endpoint endpoint {asio::ip::make_address(address.ip, error), address.port};
+    acceptor_.open(endpoint.protocol(), error);
+    acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
+    acceptor_.bind(endpoint, error);
+    if (!error) {
+        acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return HttpError::CannotListen;
+    }
+    asio::co_spawn(acceptor_.get_executor(), accept(), asio::detached);
+    return success();
+}
+
+void HttpServer::stopAccepting()
+{
+    stopping_ = true;
+    asio::post(acceptor_.get_executor(), [this]() {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+    });
+    const std::lock_guard<std::mutex> lock {idleMutex_};
+    for (beast::tcp_stream *stream : idle_) {
+        asio::post(stream->get_executor(), [this, stream]() {
+            const std::lock_guard<std::mutex> again {idleMutex_};
+            if (idle_.contains(stream)) {
+                stream->cancel();
+            }
+        });
+    }
+}
+
+std::size_t HttpServer::busy() const
+{
+    return busy_;
+}
+
+asio::awaitable<void> HttpServer::accept()
+{
+    while (acceptor_.is_open()) {
+        asio::io_context &context = *contexts_[nextContext_++ % contexts_.size()];
+        boost::system::error_code error;
+        Tcp::socket socket = co_await acceptor_.async_accept(context, errorInto(error));
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (!error) {
+            asio::co_spawn(context, serve(std::move(socket)), asio::detached);
+        }
+    }
+}
+
+/// One connection.
+class HttpServer::Session
+{
+public:
+    Session(HttpServer &server, Tcp::socket socket)
+        : server_(server)
+        , stream_(std::move(socket))
+    {
+        ++server_.open_;
+    }
+
+    ~Session()
+    {
+        --server_.open_;
+    }
+
+    Session(const Session &) = delete;
+    Session &operator=(const Session &) = delete;
+
+    asio::awaitable<void> run()
+    {
+        boost::system::error_code ignored;
+        stream_.socket().set_option(Tcp::no_delay(true), ignored);
+        if (server_.open_ > server_.limits_.connections) {
+            co_await write(problemFor(HttpError::TooManyConnections));
+            co_return;
+        }
+        while (co_await serveOne()) { }
+        stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    }
+
+private:
+    /// Waits for the first byte of the next request; false when none comes.
+    asio::awaitable<bool> awaitRequest()
+    {
+        if (buffer_.size() > 0) {
+            co_return true;
+        }
+        constexpr std::size_t firstRead = 4096;
+        setIdle(true);
+        stream_.expires_after(server_.limits_.idle);
+        boost::system::error_code error;
+        if (server_.stopping_) {
+            error = asio::error::operation_aborted;
+        } else {
+            const std::size_t size =
+                co_await stream_.async_read_some(buffer_.prepare(firstRead), errorInto(error));
+            buffer_.commit(size);
+        }
+        setIdle(false);
+        co_return !error;
+    }
+
+    void setIdle(bool idle)
+    {
+        const std::lock_guard<std::mutex> lock {server_.idleMutex_};
+        if (idle) {
+            server_.idle_.insert(&stream_);
+        } else {
+            server_.idle_.erase(&stream_);
+        }
+    }
+
+    asio::awaitable<bool> serveOne()
+    {
+        if (!co_await awaitRequest()) {
+            co_return false;
+        }
+        ++server_.busy_;
+        const bool goOn = co_await answerOne();
+        --server_.busy_;
+        co_return goOn;
+    }
+
+    asio::awaitable<bool> answerOne()
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(server_.limits_.headerBytes.value()));
+        parser.body_limit(server_.limits_.bodyBytes.value());
+        stream_.expires_after(server_.limits_.receive);
+        boost::system::error_code error;
+        co_await http::async_read(stream_, buffer_, parser, errorInto(error));
+        if (error == http::error::end_of_stream || error == asio::error::connection_reset) {
+            co_return false;
+        }
+        if (error) {
+            stream_.expires_after(server_.limits_.receive);
+            co_await write(problemFor(classify(error)));
+            co_return false;
+        }
+        HttpRequest request = parser.release();
+        const bool keepAlive = request.keep_alive();
+        const unsigned int version = request.version();
+        HttpResponse response = co_await handleWatched(std::move(request));
+        response.version(version);
+        response.keep_alive(keepAlive && !server_.stopping_);
+        co_return co_await write(std::move(response)) && keepAlive && !server_.stopping_;
+    }
+
+    asio::awaitable<HttpResponse> handleWatched(HttpRequest request)
+    {
+        const std::shared_ptr<CallerWatch> watch = std::make_shared<CallerWatch>();
+        stream_.expires_never();
+        Tcp::socket &socket = stream_.socket();
+        socket.async_wait(
+            Tcp::socket::wait_read, [&socket, watch](const boost::system::error_code &error) {
+                if (!error && hungUp(socket)) {
+                    watch->gone();
+                }
+            });
+        HttpResponse response = co_await server_.handler_.handle(std::move(request), watch);
+        watch->onGone(nullptr);
+        boost::system::error_code ignored;
+        socket.cancel(ignored);
+        // Let the cancelled wait finish before the socket can go away.
+        co_await asio::post(stream_.get_executor(), asio::use_awaitable);
+        co_return response;
+    }
+
+    asio::awaitable<bool> write(HttpResponse response)
+    {
+        response.prepare_payload();
+        stream_.expires_after(server_.limits_.idle);
+        boost::system::error_code error;
+        co_await http::async_write(stream_, response, errorInto(error));
+        co_return !error;
+    }
+
+    HttpServer &server_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+};
+
+asio::awaitable<void> HttpServer::serve(Tcp::socket socket)
+{
+    Session session {*this, std::move(socket)};
+    co_await session.run();
+}
+
+HttpResponse jsonResponse(http::status status, std::string body)
+{
+    HttpResponse response {status, 11};
+    response.set(http::field::content_type, "application/json");
+    response.body() = std::move(body);
+    return response;
+}
+
+HttpResponse problemResponse(const Problem &problem)
+{
+    boost::json::object body;
+    body["type"] = "urn:crocusmill:" + problem.type;
+    body["title"] = problem.title;
+    body["status"] = static_cast<unsigned int>(problem.status);
+    body["detail"] = problem.detail;
+    if (!problem.execution.empty()) {
+        body["execution"] = problem.execution;
+    }
+    if (!problem.workId.empty()) {
+        body["work_id"] = problem.workId;
+    }
+    HttpResponse response = jsonResponse(problem.status, boost::json::serialize(body));
+    response.set(http::field::content_type, "application/problem+json");
+    if (problem.retryAfter) {
+        constexpr std::int64_t perSecond = 1000;
+        const std::int64_t seconds = (problem.retryAfter->count() + perSecond - 1) / perSecond;
+        response.set(http::field::retry_after, std::to_string(std::max<std::int64_t>(seconds, 1)));
+    }
+    return response;
+}
+
+HttpResponse faultsResponse(const Faults &faults)
+{
+    boost::json::array list;
+    for (const Fault &fault : faults) {
+        list.push_back(boost::json::object {
+            {"pointer", fault.pointer}, {"fault", text(fault.kind)}, {"expected", fault.expected}});
+    }
+    boost::json::object body {{"type", "urn:crocusmill:invalid"}, {"title", "Not valid"},
+        {"status", 400}, {"detail", "see faults"}, {"faults", std::move(list)}};
+    HttpResponse response = jsonResponse(http::status::bad_request, boost::json::serialize(body));
+    response.set(http::field::content_type, "application/problem+json");
+    return response;
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/net/httpserver.h
@@ -0,0 +1,119 @@
+/// An HTTP server on the traffic threads, with limits on what callers may send and how slowly.
+
+#pragma once
+
+#include "src/net/asio.h"
+
+#include <crocusmill/error.h>
+#include <crocusmill/settings.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace crocusmill
+{
+
+using HttpRequest = http::request<http::string_body>;
+using HttpResponse = http::response<http::string_body>;
+
+enum class HttpError {
+    CannotListen = 1,
+    HeaderTooLarge,
+    BodyTooLarge,
+    Malformed,
+    TooSlow,
+    TooManyConnections,
+};
+
+template <> struct ErrorText<HttpError>
+{
+    static constexpr const char *category = "http";
+    static std::string_view text(HttpError error);
+};
+
+/// Lets a handler learn that its caller has hung up. Used on the connection's own thread.
+class CallerWatch
+{
+public:
+    void onGone(std::function<void()> handler);
+    void gone();
+
+private:
+    bool isGone_ = false;
+    std::function<void()> handler_;
+};
+
+class HttpHandler
+{
+public:
+    virtual ~HttpHandler() = default;
+
+    /// Runs on the traffic thread of the connection.
+    [[nodiscard]] virtual asio::awaitable<HttpResponse> handle(
+        HttpRequest request, std::shared_ptr<CallerWatch> watch) = 0;
+};
+
+struct HttpLimits
+{
+    std::uint32_t connections = 1024;
+    ByteCount headerBytes {16ULL * 1024};
+    ByteCount bodyBytes {1024ULL * 1024};
+    Milliseconds idle {60'000};
+    Milliseconds receive {10'000};
+};
+
+class HttpServer
+{
+public:
+    /// Connections are dealt out to the contexts in turn; the handler outlives the server.
+    HttpServer(std::vector<asio::io_context *> contexts, HttpLimits limits, HttpHandler &handler);
+
+    /// Errors: HttpError::CannotListen.
+    [[nodiscard]] Result<void> listen(const NodeAddress &address);
+    /// Takes no more connections; idle ones close, busy ones close after their answer.
+    void stopAccepting();
+    [[nodiscard]] std::size_t busy() const;
+
+private:
+    class Session;
+
+    asio::awaitable<void> accept();
+    asio::awaitable<void> serve(Tcp::socket socket);
+
+    std::vector<asio::io_context *> contexts_;
+    HttpLimits limits_;
+    HttpHandler &handler_;
+    Tcp::acceptor acceptor_;
+    std::size_t nextContext_ = 0;
+    std::atomic<std::uint32_t> open_ {0};
+    std::atomic<std::uint32_t> busy_ {0};
+    std::atomic<bool> stopping_ {false};
+    std::mutex idleMutex_;
+    std::set<beast::tcp_stream *> idle_; // connections between two requests
+};
+
+/// A response with `application/problem+json`, or another JSON body.
+[[nodiscard]] HttpResponse jsonResponse(http::status status, std::string body);
+
+/// Fields of RFC 9457, with what is known about the work.
+struct Problem
+{
+    http::status status = http::status::internal_server_error;
+    std::string type; // a short name, made a URN
+    std::string title;
+    std::string detail;
+    std::string execution; // empty: does not apply
+    std::string workId;
+    std::optional<Milliseconds> retryAfter;
+};
+
+[[nodiscard]] HttpResponse problemResponse(const Problem &problem);
+/// Every fault of a text with its pointer.
+[[nodiscard]] HttpResponse faultsResponse(const Faults &faults);
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/net/log.h
@@ -0,0 +1,42 @@
+/// Structured log records: an event name and typed attributes.
+///
+/// One record for a thing that an operator acts on; none for each request at the default level.
+
+#pragma once
+
+#include <crocusmill/settings.h>
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <variant>
+
+namespace crocusmill
+{
+
+struct LogAttribute
+{
+    std::string_view name;
+    std::variant<std::string, std::int64_t, bool> value;
+
+    LogAttribute(std::string_view attribute, std::string text);
+    LogAttribute(std::string_view attribute, std::string_view text);
+    LogAttribute(std::string_view attribute, const char *text);
+    LogAttribute(std::string_view attribute, std::uint64_t number);
+    LogAttribute(std::string_view attribute, bool flag);
+    LogAttribute(std::string_view attribute, const std::error_code &error);
+};
+
+void startLog(const LogSettings &settings, const VmId &vm);
+
+/// Any thread.
+void logRecord(
+    LogLevel level, std::string_view event, std::initializer_list<LogAttribute> attributes);
+
+void logInfo(std::string_view event, std::initializer_list<LogAttribute> attributes = {});
+void logWarning(std::string_view event, std::initializer_list<LogAttribute> attributes = {});
+void logError(std::string_view event, std::initializer_list<LogAttribute> attributes = {});
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/net/tracing.h
@@ -0,0 +1,93 @@
+/// Spans of requests, one for each hop, joined by the W3C trace id.
+///
+/// Safe from any thread.
+
+#pragma once
+
+#include <crocusmill/settings.h>
+
+#include <boost/circular_buffer.hpp>
+#include <boost/json.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <fstream>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crocusmill
+{
+
+using TraceId = StrongValue<struct TraceIdTag, std::string>;
+using SpanId = StrongValue<struct SpanIdTag, std::string>;
+
+/// Parsed from or made for a `traceparent` header.
+struct TraceContext
+{
+    TraceId trace;
+    SpanId parent; // empty: this is the root
+
+    /// Nothing when the header is malformed.
+    [[nodiscard]] static std::optional<TraceContext> parse(std::string_view traceparent);
+    [[nodiscard]] static TraceContext fresh();
+    [[nodiscard]] std::string header(const SpanId &span) const;
+};
+
+[[nodiscard]] SpanId makeSpanId();
+
+struct SpanAttribute
+{
+    std::string name;
+    std::string value;
+};
+
+struct Span
+{
+    TraceId trace;
+    SpanId id;
+    SpanId parent;
+    std::string name;
+    std::chrono::system_clock::time_point start;
+    std::chrono::system_clock::time_point end;
+    std::vector<SpanAttribute> attributes;
+};
+
+class Tracer
+{
+public:
+    Tracer(const TraceSettings &settings, VmId vm);
+
+    void record(Span span);
+    /// The kept spans of one trace as JSON, oldest first.
+    [[nodiscard]] std::string find(const TraceId &trace) const;
+
+private:
+    [[nodiscard]] boost::json::object describe(const Span &span) const;
+
+    VmId vm_;
+    mutable std::mutex mutex_;
+    boost::circular_buffer<Span> kept_;
+    std::ofstream file_;
+};
+
+/// Measures one hop and records it when it ends.
+class OpenSpan
+{
+public:
+    OpenSpan(Tracer &tracer, TraceId trace, SpanId parent, std::string name);
+    ~OpenSpan();
+    OpenSpan(const OpenSpan &) = delete;
+    OpenSpan &operator=(const OpenSpan &) = delete;
+
+    void note(std::string name, std::string value);
+    [[nodiscard]] const SpanId &id() const;
+
+private:
+    Tracer &tracer_;
+    Span span_;
+};
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/services/cell.h
@@ -0,0 +1,77 @@
+/// The cell's scheduling on the leader: workers announce themselves, tasks are placed on them.
+
+#pragma once
+
+#include "src/services/interfaces.h"
+
+#include <crocusmill/placement.h>
+#include <crocusmill/settings.h>
+
+#include <functional>
+#include <map>
+#include <set>
+
+namespace crocusmill
+{
+
+class Cell
+{
+public:
+    using Propose = std::function<void(const Command &, ProposeHandler)>;
+
+    /// A new leader takes the recorded placements over and places nothing new until every lease
+    /// of an earlier leader is over.
+    Cell(const TimeSettings &times, const StateMachine &state, Propose propose, MonotonicTime now);
+
+    [[nodiscard]] WorkerReply announced(const WorkerAnnouncement &announcement, MonotonicTime now);
+    /// Places what waits and ends the tasks of workers whose leases are over.
+    void sweep(MonotonicTime now);
+    /// Whether the job could ever run on the workers known.
+    [[nodiscard]] PlacementObstacle feasible(const SubmitJob &job) const;
+    void drain(const WorkerId &worker);
+    [[nodiscard]] std::string describeWorkers() const;
+
+private:
+    struct WorkerRecord
+    {
+        WorkerAnnouncement announcement;
+        MonotonicTime heard;
+        bool lost = false;
+        std::uint32_t failuresInRow = 0;
+    };
+    using TaskKey = std::pair<JobId, std::uint32_t>;
+    struct Reservation
+    {
+        WorkerId worker;
+        std::uint32_t attempt = 0;
+        JobClass jobClass = JobClass::Batch;
+        TaskSize size;
+    };
+
+    void takeOver();
+    void updateWorker(const WorkerRecord &record);
+    void endTask(const JobId &job, std::uint32_t task, std::uint32_t attempt, TaskEnd end);
+    void releaseReservation(const TaskKey &key, std::uint32_t attempt);
+    void loseWorker(const WorkerId &worker);
+    void placeJob(const JobId &id, const Job &job);
+    void propose(const JobId &id, const Job &job, const PlacementResult &result);
+    /// Frees room for urgent work by stopping tasks that are not urgent. True when some stopped.
+    bool preemptFor(const Job &urgent);
+    [[nodiscard]] TaskOrder orderFor(const Job &job, std::uint32_t task) const;
+    void judge(WorkerRecord &record, TaskReportState state);
+
+    TimeSettings times_;
+    const StateMachine &state_;
+    Propose propose_;
+    MonotonicTime graceEnds_;
+    Placement placement_ {PlacementPolicy::Fair};
+    std::map<WorkerId, WorkerRecord> workers_;
+    // Invariant: what placement_ holds reserved, task by task.
+    std::map<TaskKey, Reservation> reservations_;
+    // Tasks whose end is proposed and not applied yet, and jobs whose placement is.
+    std::set<TaskKey> ending_;
+    std::set<JobId> placing_;
+    std::set<WorkerId> draining_;
+};
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/services/entryservice.cpp
@@ -0,0 +1,473 @@
+/// Beats, grants and the dispatch of waiting requests.
+
+#include "src/services/entryservice.h"
+
+#include "src/net/log.h"
+#include "src/net/peerstream.h"
+
+#include <algorithm>
+#include <atomic>
+#include <random>
+#include <sstream>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+constexpr Milliseconds decideInterval {20};
+constexpr Milliseconds beatLimit {1'000};
+constexpr Milliseconds announceLimit {2'000};
+
+MonotonicTime monotonicNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::string randomHex()
+{
+    std::random_device random;
+    std::ostringstream out;
+    out << std::hex << random() << random();
+    return std::move(out).str();
+}
+
+/// The same in everything that the leader acts on, and nothing that needs its answer.
+bool isQuietRepeat(const Announcement &before, const Announcement &now)
+{
+    return now.running.empty() && now.finished.empty() && before.running.empty()
+        && before.finished.empty() && before.environment == now.environment
+        && before.stage == now.stage && before.service == now.service
+        && before.address == now.address && before.slots == now.slots
+        && before.incarnation == now.incarnation && before.mode == now.mode;
+}
+
+class EntryService final : public Service, public Entry
+{
+public:
+    EntryService(asio::io_context &control, const Settings &settings, ReplicaId replica)
+        : settings_(settings)
+        , replica_(replica)
+        , epoch_(settings.vm.value() + "." + randomHex())
+        , admission_(slots_, std::random_device {}())
+        , beatTimer_(control)
+        , decideTimer_(control)
+        , routes_(std::make_shared<const RouteTable>())
+    {
+    }
+
+    std::string_view name() const override
+    {
+        return names::entry;
+    }
+
+    std::vector<std::string_view> needs() const override
+    {
+        return {names::client};
+    }
+
+    Result<void> start(Kernel &kernel) override
+    {
+        client_ = kernel.find<LeaderClient>(names::client);
+        beat();
+        scheduleDecide();
+        return success();
+    }
+
+    void stop() override
+    {
+        stopping_ = true;
+        beatTimer_.cancel();
+        decideTimer_.cancel();
+        refuse(admission_.refuseAll(RefusalReason::Draining));
+    }
+
+    void acquire(WaitingRequest request, std::function<void(DispatchResult)> done) override
+    {
+        const MonotonicTime now = monotonicNow();
+        if (readiness_ != Readiness::Ready && readiness_ != Readiness::Draining) {
+            constexpr Milliseconds soon {1000};
+            done(Refusal {request.id, RefusalReason::NoQuorum, soon});
+            return;
+        }
+        const std::optional<Refusal> refusal = admission_.submit(request, now);
+        if (refusal) {
+            done(*refusal);
+            return;
+        }
+        waiting_.emplace(request.id, std::move(done));
+        decide();
+    }
+
+    void cancel(const ServiceKey &service, RequestId request) override
+    {
+        if (admission_.cancel(service, request)) {
+            answer(request, Refusal {request, RefusalReason::Cancelled, {}});
+        }
+    }
+
+    void release(RequestId request, const AttemptId &attempt, AttemptVerdict verdict,
+        Milliseconds ran, bool left) override
+    {
+        admission_.ended(request, verdict, ran, monotonicNow());
+        const auto sent = sent_.find(attempt);
+        if (sent == sent_.end()) {
+            return;
+        }
+        if (left) {
+            sent_.erase(sent);
+            admission_.slotFree(request);
+            decide();
+            return;
+        }
+        sent->second.lingering = true;
+    }
+
+    bool takeRetry(const ServiceKey &service) override
+    {
+        return admission_.takeRetry(service);
+    }
+
+    void announce(const AnnounceCall &call, ReplyHandler done) override
+    {
+        const UpstreamId id = call.announcement.id;
+        if (call.farewell || call.announcement.mode == UpstreamMode::Draining) {
+            slots_.close(id); // this entry need not wait for the leader to say so
+        }
+        const auto known = announced_.find(id);
+        const bool quiet = !call.farewell && known != announced_.end()
+            && isQuietRepeat(known->second.announcement, call.announcement);
+        if (quiet) {
+            heard_.push_back(known->second.number);
+            AnnounceReply reply;
+            reply.number = known->second.number;
+            done(Reply {reply});
+            return;
+        }
+        client_->call(
+            call, announceLimit, [this, call, done = std::move(done)](const Result<Reply> &reply) {
+                const AnnounceReply *accepted =
+                    reply ? std::get_if<AnnounceReply>(&reply.value()) : nullptr;
+                if (accepted == nullptr || call.farewell) {
+                    announced_.erase(call.announcement.id);
+                } else {
+                    announced_[call.announcement.id] = {call.announcement, accepted->number};
+                }
+                done(reply);
+            });
+    }
+
+    void drain() override
+    {
+        draining_ = true;
+        updateReadiness();
+    }
+
+    void onAdopt(std::function<void(const Work &)> handler) override
+    {
+        adopt_ = std::move(handler);
+    }
+
+    EntryEpoch epoch() const override
+    {
+        return epoch_;
+    }
+
+    std::size_t running() const override
+    {
+        return admission_.running() + admission_.waiting();
+    }
+
+    RequestId nextRequest() override
+    {
+        return RequestId {nextRequest_.fetch_add(1)};
+    }
+
+    std::shared_ptr<const RouteTable> routes() const override
+    {
+        return routes_.load();
+    }
+
+    Readiness readiness() const override
+    {
+        return readiness_.load();
+    }
+
+private:
+    struct Sent
+    {
+        RequestId request;
+        UpstreamId upstream;
+        Incarnation incarnation;
+        bool lingering = false; // ended without proof that it has left the upstream
+    };
+    struct Announced
+    {
+        Announcement announcement;
+        std::uint32_t number = 0;
+    };
+
+    void decide()
+    {
+        Decisions decisions = admission_.decide(monotonicNow());
+        for (const Assignment &assignment : decisions.assigned) {
+            dispatch(assignment);
+        }
+        refuse(decisions.refused);
+    }
+
+    void dispatch(const Assignment &assignment)
+    {
+        const DirectoryEntry &upstream = directory_[assignment.upstream];
+        const AttemptId attempt = makeAttemptId(epoch_, nextAttempt_++);
+        sent_.emplace(
+            attempt, Sent {assignment.request, assignment.upstream, upstream.incarnation, false});
+        answer(assignment.request,
+            Dispatch {assignment.request, attempt, assignment.upstream, upstream.incarnation,
+                upstream.address});
+    }
+
+    void refuse(const std::vector<Refusal> &refused)
+    {
+        for (const Refusal &refusal : refused) {
+            answer(refusal.request, refusal);
+        }
+    }
+
+    void answer(RequestId request, const DispatchResult &result)
+    {
+        const auto found = waiting_.find(request);
+        if (found == waiting_.end()) {
+            return;
+        }
+        const std::function<void(DispatchResult)> done = std::move(found->second);
+        waiting_.erase(found);
+        done(result);
+    }
+
+    void scheduleDecide()
+    {
+        decideTimer_.expires_after(decideInterval);
+        decideTimer_.async_wait([this](const boost::system::error_code &error) {
+            if (error) {
+                return;
+            }
+            refuse(admission_.expire(monotonicNow()));
+            decide();
+            updateReadiness();
+            scheduleDecide();
+        });
+    }
+
+    void updateReadiness()
+    {
+        const MonotonicTime now = monotonicNow();
+        Readiness next = Readiness::Ready;
+        if (draining_) {
+            next = Readiness::Draining;
+        } else if (confirmed_ == MonotonicTime {}) {
+            next = Readiness::Starting;
+        } else if (now - confirmed_ > settings_.times.staleConfiguration) {
+            next = Readiness::StaleConfiguration;
+        } else if (!slots_.valid(now)) {
+            next = Readiness::Isolated;
+        }
+        const Readiness before = readiness_.exchange(next);
+        if (before != next) {
+            logInfo("entry.readiness", {{"from", text(before)}, {"to", text(next)}});
+        }
+    }
+
+    BeatCall makeBeat()
+    {
+        BeatCall call;
+        call.vm = settings_.vm;
+        call.epoch = epoch_;
+        call.address = settings_.peers.listen;
+        call.zone = settings_.zone;
+        call.replica = replica_;
+        call.number = ++beatNumber_;
+        call.draining = draining_;
+        call.full = fullNext_;
+        call.configuration = configuration_;
+        call.directory = directoryVersion_;
+        call.held = slots_.report(fullNext_, monotonicNow());
+        call.demand = admission_.demand();
+        call.heard = std::exchange(heard_, {});
+        for (const std::pair<const AttemptId, Sent> &known : sent_) {
+            if (known.second.lingering) {
+                call.lingering.push_back(
+                    {known.first, known.second.upstream, known.second.incarnation});
+            }
+        }
+        return call;
+    }
+
+    void beat()
+    {
+        const MonotonicTime asked = monotonicNow();
+        const BeatCall call = makeBeat();
+        client_->call(call, beatLimit, [this, asked, call](const Result<Reply> &reply) {
+            if (stopping_) {
+                return;
+            }
+            const BeatReply *accepted = reply ? std::get_if<BeatReply>(&reply.value()) : nullptr;
+            fullNext_ = true;
+            if (accepted != nullptr && !accepted->stale) {
+                fullNext_ = accepted->term != leaderTerm_;
+                if (fullNext_) {
+                    announced_.clear(); // their numbers belong to the earlier leader
+                }
+                leaderTerm_ = accepted->term;
+                slots_.acknowledged(call.held);
+                accept(*accepted, asked);
+            }
+            scheduleBeat(asked);
+        });
+    }
+
+    void scheduleBeat(MonotonicTime last)
+    {
+        beatTimer_.expires_at(last + settings_.times.beat);
+        beatTimer_.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                beat();
+            }
+        });
+    }
+
+    void accept(const BeatReply &reply, MonotonicTime asked)
+    {
+        takeDirectory(reply);
+        slots_.granted(reply.grants, asked, reply.grantLife, monotonicNow());
+        takeEnvironments(reply);
+        confirmed_ = asked;
+        for (const AttemptId &attempt : reply.departed) {
+            const auto found = sent_.find(attempt);
+            if (found != sent_.end() && found->second.lingering) {
+                admission_.slotFree(found->second.request);
+                sent_.erase(found);
+            }
+        }
+        client_->learnReplicas(reply.replicas);
+        for (const Work &work : reply.adopt) {
+            if (adopt_) {
+                adopt_(work);
+            }
+        }
+        updateReadiness();
+        decide();
+    }
+
+    void takeDirectory(const BeatReply &reply)
+    {
+        for (const DirectoryEntry &upstream : reply.upstreams) {
+            if (upstream.gone) {
+                admission_.removeUpstream(upstream.id);
+                slots_.close(upstream.id);
+                announced_.erase(upstream.id);
+                continue;
+            }
+            directory_[upstream.id] = upstream;
+            admission_.setUpstream(upstream.id, upstream.service);
+        }
+        directoryVersion_ = reply.directory;
+    }
+
+    void takeEnvironments(const BeatReply &reply)
+    {
+        configuration_ = std::max(configuration_, reply.configuration);
+        if (reply.environments.empty()) {
+            return;
+        }
+        const std::shared_ptr<RouteTable> table = std::make_shared<RouteTable>(*routes_.load());
+        table->configuration = configuration_;
+        for (const EnvironmentInForce &inForce : reply.environments) {
+            install(*table, inForce);
+        }
+        routes_.store(table);
+    }
+
+    void install(RouteTable &table, const EnvironmentInForce &inForce)
+    {
+        Checked<Document> checked = parseDocument(inForce.document);
+        Document *document = std::get_if<Document>(&checked);
+        if (document == nullptr) {
+            logError("entry.document_unreadable", {{"environment", inForce.name.value()}});
+            return;
+        }
+        std::erase_if(table.hosts, [&inForce](const auto &known) {
+            return known.second->document.name == inForce.name
+                && known.second->stage == inForce.stage;
+        });
+        for (const ServiceName &service : document->services) {
+            admission_.setPolicy({inForce.name, inForce.stage, service}, document->policy);
+        }
+        const std::shared_ptr<const RouteTable::Environment> environment =
+            std::make_shared<const RouteTable::Environment>(
+                RouteTable::Environment {*document, inForce.digest, inForce.stage});
+        const std::string prefix = inForce.stage == Stage::Trial ? "trial." : "";
+        for (const std::string &host : document->hosts) {
+            table.hosts[prefix + host] = environment;
+        }
+        logInfo("entry.document_in_force",
+            {{"environment", inForce.name.value()}, {"version", inForce.version.value()},
+                {"trial", inForce.stage == Stage::Trial}});
+    }
+
+    Settings settings_;
+    ReplicaId replica_;
+    EntryEpoch epoch_;
+    SlotPool slots_;
+    Admission admission_;
+    LeaderClient *client_ = nullptr;
+    std::function<void(const Work &)> adopt_;
+    asio::steady_timer beatTimer_;
+    asio::steady_timer decideTimer_;
+    bool stopping_ = false;
+    bool draining_ = false;
+    bool fullNext_ = true;
+    std::uint64_t beatNumber_ = 0;
+    Term leaderTerm_;
+    MonotonicTime confirmed_ {};
+    LogIndex configuration_;
+    std::uint64_t directoryVersion_ = 0;
+    std::map<UpstreamId, DirectoryEntry> directory_;
+    std::map<UpstreamId, Announced> announced_;
+    std::vector<std::uint32_t> heard_;
+    std::uint64_t nextAttempt_ = 1;
+    // Invariant: one element for each slot that is taken.
+    std::map<AttemptId, Sent> sent_;
+    std::map<RequestId, std::function<void(DispatchResult)>> waiting_;
+    std::atomic<std::uint64_t> nextRequest_ {1};
+    std::atomic<Readiness> readiness_ {Readiness::Starting};
+    std::atomic<std::shared_ptr<const RouteTable>> routes_;
+};
+
+} // namespace
+
+std::string_view text(Readiness readiness)
+{
+    switch (readiness) {
+    case Readiness::Ready:
+        return "ready";
+    case Readiness::Starting:
+        return "starting";
+    case Readiness::Draining:
+        return "draining";
+    case Readiness::Isolated:
+        return "isolated";
+    case Readiness::StaleConfiguration:
+        return "stale configuration";
+    }
+    return "unknown";
+}
+
+std::unique_ptr<Service> makeEntryService(
+    asio::io_context &control, const Settings &settings, ReplicaId replica)
+{
+    return std::make_unique<EntryService>(control, settings, replica);
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/services/ingress.cpp
@@ -0,0 +1,506 @@
+/// What the callers' port answers.
+
+#include "src/services/ingress.h"
+
+#include "src/net/log.h"
+#include "src/services/announcehandler.h"
+#include "src/services/workflow.h"
+#include "src/wire/commandjson.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+constexpr std::string_view workPath = "/.well-known/crocusmill/work/";
+constexpr std::string_view readyPath = "/.well-known/crocusmill/ready";
+constexpr std::string_view jobsPath = "/v1/jobs/";
+constexpr std::string_view environmentsPath = "/v1/environments/";
+constexpr std::string_view jobsSuffix = "/jobs";
+constexpr Milliseconds callLimit {2'000};
+
+HttpResponse notFound(const std::string &type, const std::string &title)
+{
+    Problem problem;
+    problem.status = http::status::not_found;
+    problem.type = type;
+    problem.title = title;
+    problem.execution = "not_run";
+    return problemResponse(problem);
+}
+
+std::string lowerHost(std::string_view host)
+{
+    const std::size_t colon = host.rfind(':');
+    std::string name {host.substr(0, colon)};
+    std::transform(name.begin(), name.end(), name.begin(),
+        [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+    return name;
+}
+
+std::optional<std::int64_t> parseNumber(std::string_view text)
+{
+    std::int64_t number = 0;
+    const std::from_chars_result parsed =
+        std::from_chars(text.data(), text.data() + text.size(), number);
+    if (parsed.ec != std::errc {} || parsed.ptr != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+/// The `Prefer` header of RFC 7240, as far as it is understood.
+struct Preference
+{
+    bool respondAsync = false;
+    std::optional<Milliseconds> wait;
+};
+
+Preference parsePreference(std::string_view header)
+{
+    constexpr std::string_view waitName = "wait=";
+    constexpr std::int64_t perSecond = 1000;
+    Preference preference;
+    preference.respondAsync = header.find("respond-async") != std::string_view::npos;
+    const std::size_t at = header.find(waitName);
+    if (at != std::string_view::npos) {
+        std::string_view digits = header.substr(at + waitName.size());
+        digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+        const std::optional<std::int64_t> seconds = parseNumber(digits);
+        if (seconds) {
+            preference.wait = Milliseconds {*seconds * perSecond};
+        }
+    }
+    return preference;
+}
+
+StoredRequest storedRequest(const HttpRequest &request)
+{
+    StoredRequest stored;
+    stored.method = std::string {request.method_string()};
+    stored.target = std::string {request.target()};
+    for (const HttpRequest::value_type &field : request) {
+        stored.headers.push_back({std::string {field.name_string()}, std::string {field.value()}});
+    }
+    stored.body = request.body();
+    return stored;
+}
+
+class IngressService final : public Service, public Ingress, public HttpHandler
+{
+public:
+    IngressService(asio::io_context &control, std::vector<asio::io_context *> traffic,
+        const Settings &settings, Metrics &metrics, Tracer &tracer)
+        : control_(control)
+        , traffic_(std::move(traffic))
+        , settings_(settings)
+        , metrics_(metrics)
+        , tracer_(tracer)
+    {
+    }
+
+    std::string_view name() const override
+    {
+        return names::ingress;
+    }
+
+    std::vector<std::string_view> needs() const override
+    {
+        return {names::entry, names::client};
+    }
+
+    Result<void> start(Kernel &kernel) override
+    {
+        entry_ = kernel.find<Entry>(names::entry);
+        client_ = kernel.find<LeaderClient>(names::client);
+        parts_ = std::make_unique<FlowParts>(
+            FlowParts {control_, *entry_, *client_, metrics_, tracer_, settings_.entry});
+        const ForwardLimits forwardLimits {settings_.entry.connect, settings_.entry.answerBytes};
+        for (asio::io_context *context : traffic_) {
+            forwarders_[context] = std::make_unique<Forwarder>(*context, forwardLimits);
+        }
+        entry_->onAdopt([this](const Work &work) { adopt(work); });
+        announce_ = std::make_unique<AnnounceHandler>(control_, *entry_, *client_, settings_.times);
+        HttpLimits limits;
+        limits.connections = settings_.entry.connections;
+        limits.headerBytes = settings_.entry.headerBytes;
+        limits.bodyBytes = settings_.entry.bodyBytes;
+        limits.idle = settings_.entry.idle;
+        limits.receive = settings_.entry.receive;
+        server_ = std::make_unique<HttpServer>(traffic_, limits, *this);
+        BOOST_OUTCOME_TRY(server_->listen(settings_.entry.listen));
+        if (settings_.announce) {
+            announceServer_ = std::make_unique<HttpServer>(traffic_, limits, *announce_);
+            BOOST_OUTCOME_TRY(announceServer_->listen(*settings_.announce));
+        }
+        logInfo("ingress.listening",
+            {{"ip", settings_.entry.listen.ip},
+                {"port", std::uint64_t {settings_.entry.listen.port}}});
+        return success();
+    }
+
+    void stop() override
+    {
+        stopAccepting();
+    }
+
+    void stopAccepting() override
+    {
+        server_->stopAccepting();
+        if (announceServer_) {
+            announceServer_->stopAccepting();
+        }
+    }
+
+    std::size_t inProgress() const override
+    {
+        return server_->busy() + detached_;
+    }
+
+    asio::awaitable<HttpResponse> handle(
+        HttpRequest request, std::shared_ptr<CallerWatch> watch) override
+    {
+        const std::string_view target = request.target();
+        if (target == readyPath) {
+            co_return ready();
+        }
+        if (target.starts_with(workPath)) {
+            co_return co_await laterAsk(request);
+        }
+        if (!settings_.announce && AnnounceHandler::owns(target)) {
+            co_return co_await announce_->handle(std::move(request), std::move(watch));
+        }
+        const bool submitsJob =
+            target.starts_with(environmentsPath) && target.ends_with(jobsSuffix);
+        if (submitsJob || target.starts_with(jobsPath)) {
+            co_return co_await job(request);
+        }
+        co_return co_await route(request, watch);
+    }
+
+private:
+    HttpResponse ready() const
+    {
+        const Readiness readiness = entry_->readiness();
+        const boost::json::object body {{"state", text(readiness)}};
+        const bool isReady = readiness == Readiness::Ready;
+        return jsonResponse(isReady ? http::status::ok : http::status::service_unavailable,
+            boost::json::serialize(body));
+    }
+
+    Forwarder &forwarderOf(const asio::any_io_executor &executor)
+    {
+        asio::execution_context &context = asio::query(executor, asio::execution::context);
+        return *forwarders_.at(static_cast<asio::io_context *>(&context));
+    }
+
+    asio::awaitable<HttpResponse> route(
+        const HttpRequest &request, const std::shared_ptr<CallerWatch> &watch)
+    {
+        const std::shared_ptr<const RouteTable> table = entry_->routes();
+        const auto host = table->hosts.find(lowerHost(request[http::field::host]));
+        if (host == table->hosts.end()) {
+            co_return notFound("no-environment", "No environment has this host");
+        }
+        const Route *found = host->second->document.findRoute(
+            std::string {request.method_string()}, std::string {request.target()});
+        if (found == nullptr) {
+            co_return notFound("no-route", "The environment has no such route");
+        }
+        const std::string_view traceparent = request[std::string {headers::traceparent}];
+        const TraceContext trace = TraceContext::parse(traceparent).value_or(TraceContext::fresh());
+        OpenSpan span {tracer_, trace.trace, trace.parent, "caller"};
+        span.note("route", found->method + " " + found->path);
+        FlowRequest flowRequest = makeFlowRequest(request, host->second, *found, trace, span.id());
+        const MonotonicTime began = std::chrono::steady_clock::now();
+        HttpResponse response =
+            co_await run(std::move(flowRequest), parsePreference(request["Prefer"]), watch);
+        metrics_.observe({"request_seconds", ""},
+            std::chrono::duration_cast<Microseconds>(std::chrono::steady_clock::now() - began));
+        span.note("status", std::to_string(response.result_int()));
+        co_return response;
+    }
+
+    static FlowRequest makeFlowRequest(const HttpRequest &request,
+        const std::shared_ptr<const RouteTable::Environment> &environment, const Route &route,
+        const TraceContext &trace, const SpanId &span)
+    {
+        FlowRequest flow;
+        flow.environment = environment;
+        flow.route = route;
+        flow.request = storedRequest(request);
+        flow.team = TeamName {std::string {request[std::string {headers::team}]}};
+        const std::string_view key = request[std::string {headers::idempotencyKey}];
+        if (!key.empty()) {
+            flow.key = IdempotencyKey {std::string {key}};
+        }
+        flow.trace = trace;
+        flow.span = span;
+        Milliseconds time = route.deadline;
+        const std::optional<std::int64_t> asked =
+            parseNumber(request[std::string {headers::deadline}]);
+        if (asked && *asked >= 0) {
+            time = std::min(time, Milliseconds {*asked});
+        }
+        flow.deadline = std::chrono::steady_clock::now() + time;
+        flow.wallDeadline = wallTimeNow() + time;
+        return flow;
+    }
+
+    asio::awaitable<HttpResponse> run(
+        FlowRequest request, Preference preference, std::shared_ptr<CallerWatch> watch)
+    {
+        const asio::any_io_executor executor = co_await asio::this_coro::executor;
+        const Route &wanted = request.route;
+        const bool later = preference.respondAsync || preference.wait;
+        const bool recorded = later || !wanted.repeatable || wanted.exclusive || wanted.recorded;
+        if (!request.key && !wanted.repeatable) {
+            request.key = IdempotencyKey {
+                entry_->epoch().value() + "-k" + std::to_string(entry_->nextRequest().value())};
+        }
+        const std::shared_ptr<Flow> flow =
+            std::make_shared<Flow>(*parts_, forwarderOf(executor), std::move(request));
+        if (!recorded) {
+            co_return co_await flow->runUnrecorded(watch);
+        }
+        if (!later) {
+            co_return co_await flow->runRecorded();
+        }
+        co_return co_await runLater(flow, preference);
+    }
+
+    asio::awaitable<HttpResponse> runLater(std::shared_ptr<Flow> flow, Preference preference)
+    {
+        HttpResponse refusal;
+        const std::optional<Flow::Admitted> admitted = co_await flow->admit(true, refusal);
+        if (!admitted) {
+            co_return refusal;
+        }
+        if (admitted->isNew) {
+            detach(flow, admitted->work, co_await asio::this_coro::executor);
+        }
+        if (preference.wait) {
+            const MonotonicTime until = std::chrono::steady_clock::now() + *preference.wait;
+            HttpResponse response = co_await flow->follow(admitted->work, until);
+            if (response.result() != http::status::gateway_timeout) {
+                co_return response;
+            }
+        }
+        const boost::json::object body {{"work_id", admitted->work.value()}, {"state", "accepted"}};
+        HttpResponse response = jsonResponse(http::status::accepted, boost::json::serialize(body));
+        response.set(http::field::location, std::string {workPath} + admitted->work.value());
+        flow->identify(response, admitted->work);
+        co_return response;
+    }
+
+    void detach(const std::shared_ptr<Flow> &flow, const WorkId &work,
+        const asio::any_io_executor &executor)
+    {
+        ++detached_;
+        asio::co_spawn(
+            executor,
+            [this, flow, work]() -> asio::awaitable<void> {
+                static_cast<void>(co_await flow->carryOn(work));
+                --detached_;
+            },
+            asio::detached);
+    }
+
+    /// Takes over work whose entry is gone; on the control thread.
+    void adopt(const Work &work)
+    {
+        const std::shared_ptr<const RouteTable> table = entry_->routes();
+        for (const auto &known : table->hosts) {
+            const RouteTable::Environment &environment = *known.second;
+            const bool mine = environment.document.name == work.environment
+                && environment.stage == Stage::Production;
+            if (!mine || !work.request) {
+                continue;
+            }
+            const Route *route =
+                environment.document.findRoute(work.request->method, work.request->target);
+            if (route == nullptr) {
+                break;
+            }
+            FlowRequest request;
+            request.environment = known.second;
+            request.route = *route;
+            request.request = *work.request;
+            request.key = work.key;
+            request.trace = TraceContext::fresh();
+            request.span = makeSpanId();
+            const Milliseconds left = work.deadline - wallTimeNow();
+            request.deadline = std::chrono::steady_clock::now() + left;
+            request.wallDeadline = work.deadline;
+            asio::io_context &context = *traffic_.front();
+            const std::shared_ptr<Flow> flow =
+                std::make_shared<Flow>(*parts_, *forwarders_.at(&context), std::move(request));
+            logInfo("work.adopted", {{"work", work.id.value()}});
+            detach(flow, work.id, context.get_executor());
+            return;
+        }
+        logWarning("work.not_adopted", {{"work", work.id.value()}});
+    }
+
+    asio::awaitable<Result<Reply>> call(Call wanted)
+    {
+        const std::function<void(std::function<void(Result<Reply>)>)> begin =
+            [this, wanted](std::function<void(Result<Reply>)> done) {
+                client_->call(wanted, callLimit, std::move(done));
+            };
+        co_return co_await askControl<Result<Reply>>(control_, begin);
+    }
+
+    asio::awaitable<HttpResponse> laterAsk(const HttpRequest &request)
+    {
+        const std::string_view target = request.target();
+        const WorkId id {std::string {target.substr(workPath.size())}};
+        if (request.method() == http::verb::delete_) {
+            const RevokeWork revoke {id, true, wallTimeNow()};
+            const Call proposal {ProposeCall {encodeCommand(Command {revoke})}};
+            const Result<Reply> revoked = co_await call(proposal);
+            if (!revoked) {
+                co_return unreachable(revoked.error(), id);
+            }
+        }
+        const Call wanted {WorkCall {id, std::nullopt}};
+        const Result<Reply> reply = co_await call(wanted);
+        const WorkReply *known = reply ? std::get_if<WorkReply>(&reply.value()) : nullptr;
+        if (known == nullptr) {
+            co_return unreachable(
+                reply ? std::error_code {CodecError::UnknownKind} : reply.error(), id);
+        }
+        if (!known->work) {
+            co_return notFound("no-work", "No such work is known, or it was forgotten");
+        }
+        co_return describeState(*known->work);
+    }
+
+    static HttpResponse unreachable(const std::error_code &error, const WorkId &work)
+    {
+        Problem problem;
+        problem.status = http::status::service_unavailable;
+        problem.type = "journal-unreachable";
+        problem.title = "The state of the work cannot be told now";
+        problem.detail = error.message();
+        problem.execution = "unknown";
+        problem.workId = work.value();
+        problem.retryAfter = Milliseconds {1'000};
+        return problemResponse(problem);
+    }
+
+    static HttpResponse describeState(const Work &work)
+    {
+        boost::json::object body;
+        body["work_id"] = work.id.value();
+        body["state"] = boost::json::value_from(work.state);
+        body["execution"] = text(work.execution());
+        body["cancelled"] = work.cancelled;
+        if (work.answer) {
+            body["status"] = work.answer->status;
+            body["body_kept"] = !work.answer->bodyOmitted;
+            body["body"] = work.answer->body;
+        }
+        return jsonResponse(http::status::ok, boost::json::serialize(body));
+    }
+
+    asio::awaitable<HttpResponse> job(const HttpRequest &request)
+    {
+        const std::string_view target = request.target();
+        if (target.starts_with(environmentsPath) && request.method() == http::verb::post) {
+            std::string_view name = target.substr(environmentsPath.size());
+            name.remove_suffix(jobsSuffix.size());
+            const EnvironmentName environment {std::string {name}};
+            co_return co_await submitJob(environment, request.body());
+        }
+        if (!target.starts_with(jobsPath)) {
+            co_return notFound("no-such-path", "No such path");
+        }
+        const JobId id {std::string {target.substr(jobsPath.size())}};
+        if (request.method() == http::verb::delete_) {
+            const Call proposal {ProposeCall {encodeCommand(Command {CancelJob {id}})}};
+            const Result<Reply> cancelled = co_await call(proposal);
+            if (!cancelled) {
+                co_return unreachable(cancelled.error(), {});
+            }
+        }
+        const Call wanted {JobCall {id}};
+        const Result<Reply> reply = co_await call(wanted);
+        const JobReply *known = reply ? std::get_if<JobReply>(&reply.value()) : nullptr;
+        if (known == nullptr) {
+            co_return unreachable(
+                reply ? std::error_code {CodecError::UnknownKind} : reply.error(), {});
+        }
+        if (!known->job) {
+            co_return notFound("no-job", "No such job");
+        }
+        boost::json::object body;
+        body["job"] = id.value();
+        body["cancelled"] = known->job->cancelled;
+        body["waits_for"] = known->waitsFor;
+        body["tasks"] = boost::json::value_from(known->job->tasks);
+        co_return jsonResponse(http::status::ok, boost::json::serialize(body));
+    }
+
+    asio::awaitable<HttpResponse> submitJob(EnvironmentName environment, std::string text)
+    {
+        Checked<SubmitJob> checked = parseJob(text);
+        if (const Faults *faults = std::get_if<Faults>(&checked)) {
+            co_return faultsResponse(*faults);
+        }
+        SubmitJob command = std::move(std::get<SubmitJob>(checked));
+        command.environment = std::move(environment);
+        command.at = wallTimeNow();
+        command.job =
+            JobId {entry_->epoch().value() + "-j" + std::to_string(entry_->nextRequest().value())};
+        const Call proposal {ProposeCall {encodeCommand(Command {command})}};
+        const Result<Reply> reply = co_await call(proposal);
+        const ProposeReply *proposed = reply ? std::get_if<ProposeReply>(&reply.value()) : nullptr;
+        if (proposed == nullptr) {
+            co_return unreachable(
+                reply ? std::error_code {CodecError::UnknownKind} : reply.error(), {});
+        }
+        if (proposed->result.error != StateError::None) {
+            Problem problem;
+            problem.status = http::status::unprocessable_entity;
+            problem.type = "never-fits";
+            problem.title = "The job can never run";
+            problem.detail = "its tasks are larger than the workers can ever hold";
+            problem.execution = "not_run";
+            co_return problemResponse(problem);
+        }
+        const boost::json::object body {{"job", command.job.value()}, {"state", "accepted"}};
+        HttpResponse response = jsonResponse(http::status::accepted, boost::json::serialize(body));
+        response.set(http::field::location, std::string {jobsPath} + command.job.value());
+        co_return response;
+    }
+
+    asio::io_context &control_;
+    std::vector<asio::io_context *> traffic_;
+    Settings settings_;
+    Metrics &metrics_;
+    Tracer &tracer_;
+    Entry *entry_ = nullptr;
+    LeaderClient *client_ = nullptr;
+    std::unique_ptr<FlowParts> parts_;
+    std::map<asio::io_context *, std::unique_ptr<Forwarder>> forwarders_;
+    std::unique_ptr<AnnounceHandler> announce_;
+    std::unique_ptr<HttpServer> server_;
+    std::unique_ptr<HttpServer> announceServer_;
+    std::atomic<std::size_t> detached_ {0};
+};
+
+} // namespace
+
+std::unique_ptr<Service> makeIngressService(asio::io_context &control,
+    std::vector<asio::io_context *> traffic, const Settings &settings, Metrics &metrics,
+    Tracer &tracer)
+{
+    return std::make_unique<IngressService>(control, std::move(traffic), settings, metrics, tracer);
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/services/journalservice.cpp
@@ -0,0 +1,529 @@
+/// Runs the consensus core: stores, sends and applies what it says.
+
+#include "src/services/journalservice.h"
+
+#include "src/net/log.h"
+#include "src/net/peerstream.h"
+
+#include <map>
+#include <random>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+constexpr Milliseconds tickInterval {10};
+constexpr Milliseconds formInterval {300};
+constexpr Milliseconds proposeLimit {5'000};
+constexpr Milliseconds helloLimit {1'000};
+
+MonotonicTime monotonicNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+class JournalService final : public Service, public Journal
+{
+public:
+    JournalService(
+        asio::io_context &control, const Settings &settings, std::unique_ptr<Storage> storage)
+        : control_(control)
+        , settings_(settings)
+        , storage_(std::move(storage))
+        , tick_(control)
+        , formation_(control)
+    {
+    }
+
+    std::string_view name() const override
+    {
+        return names::journal;
+    }
+
+    std::vector<std::string_view> needs() const override
+    {
+        return {names::peers};
+    }
+
+    Result<void> start(Kernel &kernel) override
+    {
+        peers_ = kernel.find<Peers>(names::peers);
+        if (!storage_) {
+            return success();
+        }
+        BOOST_OUTCOME_TRY(StoredState stored, storage_->load());
+        if (stored.snapshot) {
+            BOOST_OUTCOME_TRY(state_.restore(stored.snapshot->data));
+        }
+        hard_ = stored.hard;
+        snapshot_ = stored.snapshot;
+        std::random_device random;
+        const std::uint64_t seed = (std::uint64_t {random()} << 32U) ^ random();
+        consensus_ = std::make_unique<Consensus>(storage_->identity(), settings_.times.consensus,
+            std::move(stored), seed, monotonicNow());
+        logInfo("journal.opened",
+            {{"replica", storage_->identity().value()},
+                {"last_index", consensus_->lastIndex().value()}, {"formed", formed()}});
+        peers_->onMessage([this](const Message &message) { receive(message); });
+        scheduleTick();
+        scheduleFormation();
+        return success();
+    }
+
+    void stop() override
+    {
+        tick_.cancel();
+        formation_.cancel();
+        failProposals(PeerError::Stopping);
+    }
+
+    void propose(const Command &command, ProposeHandler done) override
+    {
+        if (!consensus_) {
+            done(ConsensusError::NotLeader);
+            return;
+        }
+        const Result<LogIndex> index = consensus_->propose(encodeCommand(command));
+        if (!index) {
+            done(index.error());
+            return;
+        }
+        proposals_.emplace(index.value(),
+            Proposal {consensus_->term(), monotonicNow() + proposeLimit, std::move(done)});
+        scheduleStep();
+    }
+
+    bool leads() const override
+    {
+        return consensus_ && consensus_->isReadyLeader() && consensus_->holdsLease(monotonicNow());
+    }
+
+    bool formed() const override
+    {
+        return consensus_ && !consensus_->membership().members.empty();
+    }
+
+    std::optional<NodeAddress> leader() const override
+    {
+        if (!consensus_) {
+            return std::nullopt;
+        }
+        const Member *member = consensus_->membership().find(consensus_->leader());
+        if (member == nullptr) {
+            return std::nullopt;
+        }
+        return member->address;
+    }
+
+    const StateMachine &state() const override
+    {
+        return state_;
+    }
+
+    const Consensus *consensus() const override
+    {
+        return consensus_.get();
+    }
+
+    HelloReply hello() const override
+    {
+        HelloReply reply;
+        reply.vm = settings_.vm;
+        if (consensus_) {
+            reply.replica = consensus_->self();
+            reply.formed = formed();
+            reply.leader = leader();
+            reply.membership = consensus_->membership();
+        }
+        return reply;
+    }
+
+    /// The first entry of the log, the same on every founding member, states the membership.
+    bool form(const Membership &membership) override
+    {
+        if (!consensus_ || membership.find(consensus_->self()) == nullptr) {
+            return false;
+        }
+        if (formed() || consensus_->lastIndex() != LogIndex {}) {
+            return consensus_->membershipAt(LogIndex {}) == membership
+                || consensus_->membership() == membership;
+        }
+        const Snapshot founding {LogIndex {1}, Term {1}, membership, state_.snapshot()};
+        const HardState hard {Term {1}, ReplicaId {}};
+        if (!storage_->saveSnapshot(founding, hard, {})) {
+            fail(StorageError::CannotWrite);
+            return false;
+        }
+        StoredState stored;
+        stored.hard = hard;
+        stored.snapshot = std::make_shared<const Snapshot>(founding);
+        hard_ = hard;
+        snapshot_ = stored.snapshot;
+        consensus_ = std::make_unique<Consensus>(storage_->identity(), settings_.times.consensus,
+            std::move(stored), storage_->identity().value(), monotonicNow());
+        logInfo("journal.formed", {{"members", std::uint64_t {membership.members.size()}}});
+        return true;
+    }
+
+    void offerReplica(const VmId &vm, ReplicaId replica, const NodeAddress &address) override
+    {
+        if (!leads() || replica == ReplicaId {}) {
+            return;
+        }
+        const Membership &membership = consensus_->membership();
+        if (membership.find(replica) != nullptr) {
+            return;
+        }
+        for (const VoterSettings &voter : settings_.peers.voters) {
+            if (voter.vm == vm) {
+                spares_[vm] = Member {replica, vm, address, MemberRole::Learner};
+                return;
+            }
+        }
+    }
+
+    Result<void> replace(const VmId &vm) override
+    {
+        if (!leads()) {
+            return ConsensusError::NotLeader;
+        }
+        const Member *member = consensus_->membership().findVm(vm);
+        if (member == nullptr) {
+            return ConsensusError::NoSuchMember;
+        }
+        BOOST_OUTCOME_TRY(consensus_->removeMember(member->id));
+        scheduleStep();
+        return success();
+    }
+
+private:
+    struct Proposal
+    {
+        Term term;
+        MonotonicTime until;
+        ProposeHandler done;
+    };
+
+    void receive(const Message &message)
+    {
+        consensus_->receive(message, monotonicNow());
+        scheduleStep();
+    }
+
+    /// Inputs that arrive together are stored with one sync.
+    void scheduleStep()
+    {
+        if (stepScheduled_) {
+            return;
+        }
+        stepScheduled_ = true;
+        asio::post(control_, [this]() {
+            stepScheduled_ = false;
+            step();
+        });
+    }
+
+    void step()
+    {
+        if (failed_) {
+            return;
+        }
+        for (Ready ready = consensus_->takeReady(); !ready.empty();
+             ready = consensus_->takeReady()) {
+            if (!store(ready)) {
+                return;
+            }
+            for (const Message &message : ready.send) {
+                sendTo(message);
+            }
+            for (const LogEntry &entry : ready.apply) {
+                apply(entry);
+            }
+        }
+        dropStaleProposals();
+        maybeSnapshot();
+    }
+
+    bool store(const Ready &ready)
+    {
+        if (ready.hard) {
+            hard_ = *ready.hard;
+        }
+        Result<void> stored = success();
+        if (ready.install) {
+            snapshot_ = ready.install;
+            stored = storage_->saveSnapshot(*ready.install, hard_, ready.append);
+            if (stored) {
+                stored = state_.restore(ready.install->data);
+            }
+        } else if (ready.mustSync()) {
+            stored = storage_->append(ready.hard, ready.append);
+        }
+        if (!stored) {
+            fail(stored.error());
+            return false;
+        }
+        if (!ready.append.empty()) {
+            consensus_->persisted(ready.append.back().index);
+        }
+        return true;
+    }
+
+    void fail(const std::error_code &error)
+    {
+        // What could not be stored was not promised either: the replica falls silent.
+        failed_ = true;
+        logError("journal.failed", {{"error", error}});
+        failProposals(error);
+    }
+
+    void sendTo(const Message &message)
+    {
+        const Member *member = consensus_->membership().find(message.to);
+        if (member != nullptr) {
+            peers_->deliver(member->address, message);
+            return;
+        }
+        // The leader of a term this replica has no membership for yet.
+        const auto known = senders_.find(message.to);
+        if (known != senders_.end()) {
+            peers_->deliver(known->second, message);
+        }
+    }
+
+    void apply(const LogEntry &entry)
+    {
+        ApplyReply reply;
+        if (entry.kind == EntryKind::Command) {
+            reply = state_.applyEncoded(entry.payload, entry.index);
+        }
+        const auto found = proposals_.find(entry.index);
+        if (found == proposals_.end()) {
+            return;
+        }
+        const Proposal proposal = std::move(found->second);
+        proposals_.erase(found);
+        if (proposal.term == entry.term) {
+            proposal.done(reply);
+        } else {
+            proposal.done(ConsensusError::NotLeader);
+        }
+    }
+
+    void dropStaleProposals()
+    {
+        const MonotonicTime now = monotonicNow();
+        while (!proposals_.empty() && proposals_.begin()->second.until < now) {
+            const ProposeHandler done = std::move(proposals_.begin()->second.done);
+            proposals_.erase(proposals_.begin());
+            done(PeerError::TimedOut);
+        }
+    }
+
+    void failProposals(const std::error_code &error)
+    {
+        std::map<LogIndex, Proposal> failing;
+        failing.swap(proposals_);
+        for (std::pair<const LogIndex, Proposal> &proposal : failing) {
+            proposal.second.done(error);
+        }
+    }
+
+    void maybeSnapshot()
+    {
+        const std::uint64_t since =
+            consensus_->appliedIndex().value() - consensus_->snapshotIndex().value();
+        if (since < settings_.state->snapshotEntries) {
+            return;
+        }
+        const LogIndex index = consensus_->appliedIndex();
+        const SnapshotPtr snapshot = std::make_shared<const Snapshot>(Snapshot {
+            index, consensus_->termAt(index), consensus_->membershipAt(index), state_.snapshot()});
+        consensus_->compact(snapshot);
+        snapshot_ = snapshot;
+        const Result<void> saved =
+            storage_->saveSnapshot(*snapshot, hard_, consensus_->entriesAfterSnapshot());
+        if (!saved) {
+            fail(saved.error());
+            return;
+        }
+        logInfo("journal.snapshot",
+            {{"index", index.value()}, {"bytes", std::uint64_t {snapshot->data.size()}}});
+    }
+
+    void scheduleTick()
+    {
+        tick_.expires_after(tickInterval);
+        tick_.async_wait([this](const boost::system::error_code &error) {
+            if (error) {
+                return;
+            }
+            consensus_->tick(monotonicNow());
+            logLeadership();
+            step();
+            repair();
+            scheduleTick();
+        });
+    }
+
+    void logLeadership()
+    {
+        if (consensus_->isLeader() == wasLeader_) {
+            return;
+        }
+        wasLeader_ = consensus_->isLeader();
+        logInfo(wasLeader_ ? "journal.leading" : "journal.following",
+            {{"term", consensus_->term().value()}});
+    }
+
+    /// Brings a VM whose disk was lost back in: learner first, then out with its old identity,
+    /// then a vote for the new one. Each step is one membership change.
+    void repair()
+    {
+        if (!leads()) {
+            spares_.clear();
+            return;
+        }
+        for (const std::pair<const VmId, Member> &spare : spares_) {
+            if (repairStep(spare.second)) {
+                scheduleStep();
+                return;
+            }
+        }
+    }
+
+    bool repairStep(const Member &spare)
+    {
+        const Membership &membership = consensus_->membership();
+        const Member *learner = membership.find(spare.id);
+        if (learner == nullptr) {
+            return logChange("journal.learner_added", spare, consensus_->addLearner(spare));
+        }
+        if (learner->role == MemberRole::Voter || !consensus_->caughtUp(spare.id)) {
+            return false;
+        }
+        for (const Member &member : membership.members) {
+            if (member.vm == spare.vm && member.id != spare.id) {
+                return logChange(
+                    "journal.lost_replica_removed", member, consensus_->removeMember(member.id));
+            }
+        }
+        return logChange("journal.voter_added", spare, consensus_->promoteLearner(spare.id));
+    }
+
+    static bool logChange(
+        std::string_view event, const Member &member, const Result<LogIndex> &changed)
+    {
+        if (changed) {
+            logInfo(event, {{"member", member.vm.value()}, {"replica", member.id.value()}});
+        }
+        return changed.has_value();
+    }
+
+    /// While no cell is formed: joins one that exists, or founds one once every voter that the
+    /// settings name is there and none of them has stored anything.
+    void scheduleFormation()
+    {
+        formation_.expires_after(formInterval);
+        formation_.async_wait([this](const boost::system::error_code &error) {
+            if (error || formed()) {
+                return;
+            }
+            askFounders();
+            scheduleFormation();
+        });
+    }
+
+    void askFounders()
+    {
+        founders_.clear();
+        for (const VoterSettings &voter : settings_.peers.voters) {
+            if (voter.vm == settings_.vm) {
+                founded(voter, hello());
+                continue;
+            }
+            peers_->call(voter.address, HelloCall {settings_.vm}, helloLimit,
+                [this, voter](const Result<Reply> &reply) {
+                    if (!reply) {
+                        return;
+                    }
+                    const HelloReply *hello = std::get_if<HelloReply>(&reply.value());
+                    if (hello != nullptr) {
+                        founded(voter, *hello);
+                    }
+                });
+        }
+    }
+
+    void founded(const VoterSettings &voter, const HelloReply &hello)
+    {
+        if (hello.formed) {
+            // This replica only has to stay reachable: the leader sends what it lacks.
+            rememberMembers(hello.membership);
+            return;
+        }
+        if (hello.vm != voter.vm || hello.replica == ReplicaId {}) {
+            return;
+        }
+        founders_[voter.vm] = Member {hello.replica, voter.vm, voter.address, MemberRole::Voter};
+        const bool first = settings_.peers.voters.front().vm == settings_.vm;
+        if (first && founders_.size() == settings_.peers.voters.size() && !formed()) {
+            found();
+        }
+    }
+
+    void rememberMembers(const Membership &membership)
+    {
+        for (const Member &member : membership.members) {
+            senders_[member.id] = member.address;
+        }
+    }
+
+    void found()
+    {
+        Membership membership;
+        for (const std::pair<const VmId, Member> &founder : founders_) {
+            membership.members.push_back(founder.second);
+        }
+        if (!form(membership)) {
+            return;
+        }
+        for (const Member &member : membership.members) {
+            if (member.vm != settings_.vm) {
+                peers_->call(member.address, FormCall {membership}, helloLimit,
+                    [](const Result<Reply> & /*reply*/) {});
+            }
+        }
+    }
+
+    asio::io_context &control_;
+    Settings settings_;
+    std::unique_ptr<Storage> storage_;
+    std::unique_ptr<Consensus> consensus_;
+    StateMachine state_;
+    Peers *peers_ = nullptr;
+    HardState hard_;
+    SnapshotPtr snapshot_;
+    bool failed_ = false;
+    bool wasLeader_ = false;
+    bool stepScheduled_ = false;
+    // Invariant: every handler is called once.
+    std::map<LogIndex, Proposal> proposals_;
+    std::map<VmId, Member> spares_;
+    std::map<VmId, Member> founders_;
+    std::map<ReplicaId, NodeAddress> senders_;
+    asio::steady_timer tick_;
+    asio::steady_timer formation_;
+};
+
+} // namespace
+
+std::unique_ptr<Service> makeJournalService(
+    asio::io_context &control, const Settings &settings, std::unique_ptr<Storage> storage)
+{
+    return std::make_unique<JournalService>(control, settings, std::move(storage));
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/services/journalservice.h
@@ -0,0 +1,20 @@
+/// The replica of the journal: consensus core, storage and state machine on the control thread.
+
+#pragma once
+
+#include "src/net/asio.h"
+#include "src/services/interfaces.h"
+
+#include <crocusmill/settings.h>
+#include <crocusmill/storage.h>
+
+#include <memory>
+
+namespace crocusmill
+{
+
+/// `storage` is null on a VM without a data folder; its journal only answers that it has none.
+[[nodiscard]] std::unique_ptr<Service> makeJournalService(
+    asio::io_context &control, const Settings &settings, std::unique_ptr<Storage> storage);
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/services/leaderservice.cpp
@@ -0,0 +1,619 @@
+/// Beats, announcements, proposals and the recovery of work whose entry is gone.
+
+#include "src/services/leaderservice.h"
+
+#include "src/net/log.h"
+#include "src/net/peerstream.h"
+#include "src/services/cell.h"
+#include "src/services/directory.h"
+
+#include <crocusmill/leases.h>
+#include <crocusmill/slots.h>
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+constexpr Milliseconds sweepInterval {200};
+constexpr Milliseconds forgetInterval {10'000};
+
+MonotonicTime monotonicNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+WallTime wallNow()
+{
+    return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
+}
+
+/// One entry process that beats.
+struct EntryRecord
+{
+    BeatCall last;
+    MonotonicTime heard;
+};
+
+/// All that a leader knows beside the journal; made anew for each term that this VM leads.
+struct Leadership
+{
+    Leadership(Term led, const TimeSettings &times, const StateMachine &state,
+        Cell::Propose propose, MonotonicTime now)
+        : term(led)
+        , directory(led)
+        , ledger(times.slots, now)
+        , leases({times.exclusiveLease, times.slots.driftMargin}, now)
+        , cell(times, state, std::move(propose), now)
+        , graceEnds(now + times.slots.grantLife + times.slots.driftMargin)
+    {
+    }
+
+    Term term;
+    Directory directory;
+    SlotLedger ledger;
+    LeaseBook leases;
+    Cell cell;
+    MonotonicTime graceEnds;
+    MonotonicTime forgetDue {};
+    std::map<EntryEpoch, EntryRecord> entries;
+    /// When an entry first asked whether an attempt has left its upstream.
+    std::map<AttemptId, MonotonicTime> lingering;
+    std::map<UpstreamId, MonotonicTime> announcedAt;
+    std::map<EntryEpoch, std::vector<WorkId>> adoptions;
+    std::set<WorkId> recovering;
+};
+
+class LeaderService final : public Service, public Leader
+{
+public:
+    LeaderService(asio::io_context &control, const Settings &settings)
+        : settings_(settings)
+        , sweepTimer_(control)
+    {
+    }
+
+    std::string_view name() const override
+    {
+        return names::leader;
+    }
+
+    std::vector<std::string_view> needs() const override
+    {
+        return {names::peers, names::journal};
+    }
+
+    Result<void> start(Kernel &kernel) override
+    {
+        journal_ = kernel.find<Journal>(names::journal);
+        Peers *peers = kernel.find<Peers>(names::peers);
+        peers->onCall([this](const Call &call, const ReplyHandler &done) { handle(call, done); });
+        scheduleSweep();
+        return success();
+    }
+
+    void stop() override
+    {
+        sweepTimer_.cancel();
+    }
+
+    void handle(const Call &call, ReplyHandler done) override
+    {
+        if (std::holds_alternative<HelloCall>(call)) {
+            done(Reply {journal_->hello()});
+            return;
+        }
+        if (const FormCall *form = std::get_if<FormCall>(&call)) {
+            done(Reply {FormReply {journal_->form(form->membership)}});
+            return;
+        }
+        if (!journal_->leads()) {
+            done(Reply {Redirect {journal_->leader()}});
+            return;
+        }
+        refreshLeadership();
+        std::visit([this, &done](const auto &body) { on(body, done); }, call);
+    }
+
+private:
+    void refreshLeadership()
+    {
+        const Term term = journal_->consensus()->term();
+        if (lead_ && lead_->term == term) {
+            return;
+        }
+        lead_ = std::make_unique<Leadership>(
+            term, settings_.times, journal_->state(),
+            [this, term](const Command &command, const ProposeHandler &done) {
+                journal_->propose(command, [this, term, done](const Result<ApplyReply> &reply) {
+                    // The asker is gone once this VM leads no more, or again in a later term.
+                    if (lead_ && lead_->term == term) {
+                        done(reply);
+                    }
+                });
+            },
+            monotonicNow());
+    }
+
+    void on(const BeatCall &call, const ReplyHandler &done)
+    {
+        const MonotonicTime now = monotonicNow();
+        BeatReply reply;
+        reply.term = lead_->term;
+        const auto known = lead_->entries.find(call.epoch);
+        const bool isNew = known == lead_->entries.end() || !lead_->ledger.knows(call.epoch);
+        const bool old = known != lead_->entries.end() && call.number <= known->second.last.number;
+        if (old || (isNew && !call.full)) {
+            reply.stale = true;
+            done(Reply {reply});
+            return;
+        }
+        lead_->entries[call.epoch] = {call, now};
+        journal_->offerReplica(call.vm, call.replica, call.address);
+        if (!call.full) {
+            for (const std::uint32_t number : call.heard) {
+                lead_->directory.heard(number, now);
+            }
+        }
+        lead_->ledger.reported(call.epoch, call.full, call.held, call.demand, now);
+        reply.grants = lead_->ledger.grant(call.epoch, now);
+        reply.grantLife = settings_.times.slots.grantLife;
+        reply.configuration = journal_->state().configurationIndex();
+        reply.environments = environmentsSince(call.configuration);
+        reply.directory = lead_->directory.version();
+        reply.upstreams = lead_->directory.changedSince(call.directory);
+        reply.departed = departed(call.lingering, now);
+        reply.adopt = adoptionsFor(call);
+        for (const Member &member : journal_->consensus()->membership().members) {
+            reply.replicas.push_back(member.address);
+        }
+        done(Reply {reply});
+    }
+
+    std::vector<EnvironmentInForce> environmentsSince(LogIndex index) const
+    {
+        std::vector<EnvironmentInForce> changed;
+        for (const std::pair<const EnvironmentName, EnvironmentState> &known :
+            journal_->state().environments()) {
+            const EnvironmentState &environment = known.second;
+            if (environment.production && environment.production->since > index) {
+                changed.push_back(inForce(known.first, Stage::Production, *environment.production));
+            }
+            if (!environment.tried.empty() && environment.tried.back().since > index) {
+                changed.push_back(inForce(known.first, Stage::Trial, environment.tried.back()));
+            }
+        }
+        return changed;
+    }
+
+    static EnvironmentInForce inForce(
+        const EnvironmentName &name, Stage stage, const TriedDocument &document)
+    {
+        return {name, stage, document.version, document.digest, document.document};
+    }
+
+    /// Attempts that an announcement made after the question does not list as running any more.
+    std::vector<AttemptId> departed(
+        const std::vector<LingeringAttempt> &lingering, MonotonicTime now)
+    {
+        std::vector<AttemptId> left;
+        for (const LingeringAttempt &line : lingering) {
+            const MonotonicTime asked =
+                lead_->lingering.try_emplace(line.attempt, now).first->second;
+            const Directory::Record *upstream = lead_->directory.find(line.upstream);
+            const bool over = upstream != nullptr
+                && (upstream->gone || upstream->announcement.incarnation != line.incarnation
+                    || (lead_->announcedAt[line.upstream] > asked
+                        && !isRunning(*upstream, line.attempt)));
+            if (over) {
+                left.push_back(line.attempt);
+                lead_->lingering.erase(line.attempt);
+            }
+        }
+        return left;
+    }
+
+    static bool isRunning(const Directory::Record &upstream, const AttemptId &attempt)
+    {
+        const std::vector<AttemptId> &running = upstream.announcement.running;
+        return std::find(running.begin(), running.end(), attempt) != running.end();
+    }
+
+    std::vector<Work> adoptionsFor(const BeatCall &call)
+    {
+        std::vector<Work> adopted;
+        for (const WorkId &id : std::exchange(lead_->adoptions[call.epoch], {})) {
+            const Work *work = journal_->state().findWork(id);
+            if (work != nullptr && work->owner == call.epoch) {
+                adopted.push_back(*work);
+            }
+        }
+        return adopted;
+    }
+
+    void on(const ProposeCall &call, const ReplyHandler &done)
+    {
+        const Result<Command> command = decodeCommand(call.command);
+        if (!command) {
+            done(command.error());
+            return;
+        }
+        if (const SubmitJob *job = std::get_if<SubmitJob>(&command.value())) {
+            if (lead_->cell.feasible(*job) == PlacementObstacle::NeverFits) {
+                ProposeReply reply;
+                reply.applied = true;
+                reply.result.error = StateError::WrongPlacement;
+                done(Reply {reply});
+                return;
+            }
+        }
+        journal_->propose(command.value(), [done](const Result<ApplyReply> &result) {
+            if (!result) {
+                done(result.error());
+                return;
+            }
+            done(Reply {ProposeReply {true, result.value()}});
+        });
+    }
+
+    void on(const AnnounceCall &call, const ReplyHandler &done)
+    {
+        const MonotonicTime now = monotonicNow();
+        const Announcement &announcement = call.announcement;
+        AnnounceReply reply;
+        if (call.farewell) {
+            lead_->directory.farewell(announcement.id);
+            lead_->ledger.gone(announcement.id);
+            done(Reply {reply});
+            return;
+        }
+        reply.number = lead_->directory.announced(announcement, now);
+        lead_->announcedAt[announcement.id] = now;
+        UpstreamSlots slots;
+        slots.id = announcement.id;
+        slots.service = {announcement.environment, announcement.stage, announcement.service};
+        slots.slots = announcement.slots;
+        slots.draining =
+            announcement.mode == UpstreamMode::Draining || drained_.contains(announcement.id);
+        slots.incarnation = announcement.incarnation;
+        slots.running = announcement.running;
+        lead_->ledger.announced(slots, now);
+        LeaseBook::Verdict verdict =
+            lead_->leases.announced(announcement, journal_->state(), now, wallNow());
+        reply.leases = std::move(verdict.leases);
+        reply.stop = std::move(verdict.stop);
+        reply.forget = std::move(verdict.forget);
+        for (const AttemptId &attempt : announcement.running) {
+            if (lead_->lingering.contains(attempt) && !journal_->state().findAttempt(attempt)) {
+                reply.stop.push_back(attempt); // nobody waits for it any more
+            }
+        }
+        record(verdict.commands);
+        done(Reply {reply});
+    }
+
+    void record(const std::vector<Command> &commands)
+    {
+        for (const Command &command : commands) {
+            journal_->propose(command, [](const Result<ApplyReply> & /*reply*/) {});
+        }
+    }
+
+    void on(const WorkCall &call, const ReplyHandler &done)
+    {
+        if (call.settle) {
+            lead_->leases.settle(*call.settle);
+        }
+        WorkReply reply;
+        const Work *work = journal_->state().findWork(call.work);
+        if (work != nullptr) {
+            reply.work = *work;
+            reply.work->request.reset();
+        }
+        done(Reply {reply});
+    }
+
+    void on(const WorkerCall &call, const ReplyHandler &done)
+    {
+        done(Reply {lead_->cell.announced(call.announcement, monotonicNow())});
+    }
+
+    void on(const JobCall &call, const ReplyHandler &done)
+    {
+        JobReply reply;
+        const auto found = journal_->state().jobs().find(call.job);
+        if (found != journal_->state().jobs().end()) {
+            reply.job = found->second;
+            const PlacementObstacle obstacle = lead_->cell.feasible(found->second.spec);
+            reply.waitsFor = std::string {text(obstacle)};
+        }
+        done(Reply {reply});
+    }
+
+    void on(const OperatorCall &call, const ReplyHandler &done)
+    {
+        OperatorReply reply;
+        switch (call.action) {
+        case OperatorAction::ListVms:
+            reply.body = describeVms();
+            break;
+        case OperatorAction::ListMembers:
+            reply.body = describeMembers();
+            break;
+        case OperatorAction::ListUpstreams:
+            reply.body = describeUpstreams();
+            break;
+        case OperatorAction::ListWorkers:
+            reply.body = lead_->cell.describeWorkers();
+            break;
+        case OperatorAction::ListJobs:
+            reply.body = describeJobs();
+            break;
+        case OperatorAction::ListEnvironments:
+            reply.body = describeEnvironments();
+            break;
+        case OperatorAction::DrainUpstream:
+            reply.found = lead_->directory.find(UpstreamId {call.subject}) != nullptr;
+            drained_.insert(UpstreamId {call.subject});
+            break;
+        case OperatorAction::DrainWorker:
+            lead_->cell.drain(WorkerId {call.subject});
+            break;
+        case OperatorAction::ReplaceMember:
+            reply.found = journal_->replace(VmId {call.subject}).has_value();
+            break;
+        case OperatorAction::DrainVm:
+            reply.found = false; // answered by the VM itself
+            break;
+        }
+        done(Reply {reply});
+    }
+
+    void on(const HelloCall & /*call*/, const ReplyHandler & /*done*/)
+    {
+    }
+    void on(const FormCall & /*call*/, const ReplyHandler & /*done*/)
+    {
+    }
+
+    std::string describeVms() const
+    {
+        boost::json::array list;
+        const MonotonicTime now = monotonicNow();
+        for (const std::pair<const EntryEpoch, EntryRecord> &known : lead_->entries) {
+            const BeatCall &beat = known.second.last;
+            const Milliseconds age =
+                std::chrono::duration_cast<Milliseconds>(now - known.second.heard);
+            std::uint64_t slots = 0;
+            for (const SlotLine &line : beat.held) {
+                slots += line.slots.value();
+            }
+            list.push_back(boost::json::object {{"vm", beat.vm.value()},
+                {"availability_zone", beat.zone.value()},
+                {"leader", beat.address == settings_.peers.listen}, {"draining", beat.draining},
+                {"configuration", beat.configuration.value()}, {"heard_ms_ago", age.count()},
+                {"address", beat.address.ip + ":" + std::to_string(beat.address.port)}});
+        }
+        boost::json::object root;
+        root["vms"] = std::move(list);
+        root["configuration"] = journal_->state().configurationIndex().value();
+        root["term"] = lead_->term.value();
+        root["committed"] = journal_->consensus()->commitIndex().value();
+        return boost::json::serialize(root);
+    }
+
+    std::string describeMembers() const
+    {
+        boost::json::array list;
+        const Consensus &consensus = *journal_->consensus();
+        for (const Member &member : consensus.membership().members) {
+            list.push_back(boost::json::object {{"vm", member.vm.value()},
+                {"replica", std::to_string(member.id.value())},
+                {"role", member.role == MemberRole::Voter ? "voter" : "learner"},
+                {"leader", member.id == consensus.self()},
+                {"address", member.address.ip + ":" + std::to_string(member.address.port)}});
+        }
+        return boost::json::serialize(list);
+    }
+
+    std::string describeUpstreams() const
+    {
+        boost::json::array list;
+        for (const std::pair<const UpstreamId, Directory::Record> &known :
+            lead_->directory.records()) {
+            const Announcement &announcement = known.second.announcement;
+            const bool draining =
+                announcement.mode == UpstreamMode::Draining || drained_.contains(known.first);
+            list.push_back(boost::json::object {{"id", known.first.value()},
+                {"environment", announcement.environment.value()},
+                {"service", announcement.service.value()},
+                {"state",
+                    known.second.gone ? "gone"
+                        : draining    ? "draining"
+                                      : "serving"},
+                {"slots", announcement.slots.value()},
+                {"granted", lead_->ledger.occupied(known.first).value()},
+                {"running", announcement.running.size()},
+                {"availability_zone", announcement.zone.value()}});
+        }
+        return boost::json::serialize(list);
+    }
+
+    std::string describeJobs() const
+    {
+        boost::json::array list;
+        for (const std::pair<const JobId, Job> &known : journal_->state().jobs()) {
+            const Job &job = known.second;
+            std::map<TaskState, std::size_t> counts;
+            for (const TaskRecord &task : job.tasks) {
+                ++counts[task.state];
+            }
+            list.push_back(boost::json::object {{"id", known.first.value()},
+                {"environment", job.spec.environment.value()}, {"team", job.spec.team.value()},
+                {"cancelled", job.cancelled}, {"waiting", counts[TaskState::Waiting]},
+                {"placed", counts[TaskState::Placed]}, {"done", counts[TaskState::Done]},
+                {"given_up", counts[TaskState::GivenUp]}});
+        }
+        return boost::json::serialize(list);
+    }
+
+    static boost::json::object describeDocument(const TriedDocument &document)
+    {
+        return {{"version", document.version.value()}, {"digest", document.digest.value()},
+            {"by", document.by.value()}, {"since", document.since.value()},
+            {"document", document.document}};
+    }
+
+    std::string describeEnvironments() const
+    {
+        boost::json::array list;
+        for (const std::pair<const EnvironmentName, EnvironmentState> &known :
+            journal_->state().environments()) {
+            boost::json::object environment;
+            environment["name"] = known.first.value();
+            if (known.second.production) {
+                environment["production"] = describeDocument(*known.second.production);
+            }
+            boost::json::array tried;
+            for (const TriedDocument &document : known.second.tried) {
+                tried.push_back(describeDocument(document));
+            }
+            environment["tried"] = std::move(tried);
+            list.push_back(std::move(environment));
+        }
+        return boost::json::serialize(list);
+    }
+
+    void scheduleSweep()
+    {
+        sweepTimer_.expires_after(sweepInterval);
+        sweepTimer_.async_wait([this](const boost::system::error_code &error) {
+            if (error) {
+                return;
+            }
+            if (journal_->leads()) {
+                refreshLeadership();
+                sweep();
+            } else {
+                lead_.reset();
+            }
+            scheduleSweep();
+        });
+    }
+
+    void sweep()
+    {
+        const MonotonicTime now = monotonicNow();
+        lead_->ledger.expire(now);
+        for (const UpstreamId &silent :
+            lead_->directory.silentSince(now - settings_.times.announceLife)) {
+            lead_->ledger.gone(silent);
+            logWarning("upstream.silent", {{"upstream", silent.value()}});
+        }
+        const Milliseconds life =
+            settings_.times.slots.grantLife + settings_.times.slots.driftMargin;
+        std::erase_if(lead_->entries,
+            [now, life](const auto &known) { return now - known.second.heard > life; });
+        lead_->cell.sweep(now);
+        if (now < lead_->graceEnds) {
+            return;
+        }
+        record(lead_->leases.upstreamsGone(lead_->directory.alive(), journal_->state(), now));
+        recoverWork();
+        if (now >= lead_->forgetDue) {
+            lead_->forgetDue = now + forgetInterval;
+            forget();
+        }
+    }
+
+    void forget()
+    {
+        const WallTime before = wallNow() - settings_.state->keepEnded;
+        record({ForgetWork {before}});
+    }
+
+    /// Work whose entry is gone: its attempt is settled, then another entry carries it on, or it
+    /// is given up where nobody has the request.
+    void recoverWork()
+    {
+        for (const WorkId &id : journal_->state().openWork()) {
+            const Work *work = journal_->state().findWork(id);
+            if (lead_->entries.contains(work->owner) || lead_->recovering.contains(id)) {
+                continue;
+            }
+            if (!work->attempts.empty() && work->attempts.back().state == AttemptState::Started) {
+                lead_->leases.settle(work->attempts.back().id);
+            } else {
+                recoverOne(*work);
+            }
+        }
+    }
+
+    void recoverOne(const Work &work)
+    {
+        const bool lost = !work.attempts.empty() && work.attempts.back().state == AttemptState::Lost
+            && !work.repeatable;
+        const bool mayGoOn = work.request && !lost && !work.cancelled && wallNow() < work.deadline
+            && !lead_->entries.empty();
+        const WorkId id = work.id;
+        lead_->recovering.insert(id);
+        const Term term = lead_->term;
+        if (!mayGoOn) {
+            journal_->propose(RevokeWork {id, false, wallNow()},
+                [this, id, term](const Result<ApplyReply> & /*reply*/) {
+                    if (lead_ && lead_->term == term) {
+                        lead_->recovering.erase(id);
+                    }
+                });
+            return;
+        }
+        const EntryEpoch owner = leastLoadedEntry();
+        journal_->propose(
+            AdoptWork {id, owner}, [this, id, owner, term](const Result<ApplyReply> &reply) {
+                if (!lead_ || lead_->term != term) {
+                    return;
+                }
+                lead_->recovering.erase(id);
+                if (reply && reply.value().error == StateError::None) {
+                    lead_->adoptions[owner].push_back(id);
+                }
+            });
+    }
+
+    EntryEpoch leastLoadedEntry() const
+    {
+        EntryEpoch best;
+        std::uint64_t bestLoad = ~0ULL;
+        for (const std::pair<const EntryEpoch, EntryRecord> &known : lead_->entries) {
+            std::uint64_t load = known.second.last.draining ? ~0ULL - 1 : 0;
+            for (const DemandLine &line : known.second.last.demand) {
+                load += known.second.last.draining ? 0 : line.wanted;
+            }
+            if (load < bestLoad) {
+                best = known.first;
+                bestLoad = load;
+            }
+        }
+        return best;
+    }
+
+    Settings settings_;
+    Journal *journal_ = nullptr;
+    std::unique_ptr<Leadership> lead_;
+    std::set<UpstreamId> drained_;
+    asio::steady_timer sweepTimer_;
+};
+
+} // namespace
+
+std::unique_ptr<Service> makeLeaderService(asio::io_context &control, const Settings &settings)
+{
+    return std::make_unique<LeaderService>(control, settings);
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/services/leaderservice.h
@@ -0,0 +1,18 @@
+/// What only the leader of the journal does: the directory of upstreams, slots, leases, recovery.
+
+#pragma once
+
+#include "src/net/asio.h"
+#include "src/services/interfaces.h"
+
+#include <crocusmill/settings.h>
+
+#include <memory>
+
+namespace crocusmill
+{
+
+[[nodiscard]] std::unique_ptr<Service> makeLeaderService(
+    asio::io_context &control, const Settings &settings);
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/services/operators.h
@@ -0,0 +1,25 @@
+/// The operators' port: documents, lists, drains, traces and metrics, behind a bearer token.
+
+#pragma once
+
+#include "src/net/httpserver.h"
+#include "src/net/metrics.h"
+#include "src/net/tracing.h"
+#include "src/services/interfaces.h"
+
+#include <crocusmill/settings.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace crocusmill
+{
+
+/// `drain` begins the graceful shutdown of this process; any thread.
+[[nodiscard]] std::unique_ptr<Service> makeOperatorService(asio::io_context &control,
+    std::vector<asio::io_context *> traffic, const Settings &settings, std::string token,
+    Metrics &metrics, Tracer &tracer, std::function<void()> drain);
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/settings/jsonchecker.h
@@ -0,0 +1,95 @@
+/// Reads a JSON object field by field and collects every fault with its pointer.
+
+#pragma once
+
+#include <crocusmill/document.h>
+
+#include <boost/json.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace crocusmill
+{
+
+/// One object of the checked text. Each read marks its field as known; finish() reports the rest.
+class ObjectChecker
+{
+public:
+    ObjectChecker(const boost::json::value &json, std::string pointer, Faults &faults);
+
+    [[nodiscard]] std::string requiredText(std::string_view name);
+    [[nodiscard]] std::string optionalText(std::string_view name, std::string fallback);
+    [[nodiscard]] std::uint64_t requiredCount(
+        std::string_view name, std::uint64_t least, std::uint64_t most);
+    [[nodiscard]] std::uint64_t optionalCount(
+        std::string_view name, std::uint64_t least, std::uint64_t most, std::uint64_t fallback);
+    [[nodiscard]] Milliseconds optionalMilliseconds(
+        std::string_view name, Milliseconds least, Milliseconds most, Milliseconds fallback);
+    [[nodiscard]] bool optionalFlag(std::string_view name, bool fallback);
+
+    template <typename E>
+    [[nodiscard]] E choice(std::string_view name,
+        const std::vector<std::pair<std::string_view, E>> &choices, std::optional<E> fallback);
+
+    /// Calls `each` for every element of an array that may be missing.
+    void array(std::string_view name,
+        const std::function<void(const boost::json::value &, const std::string &)> &each);
+    /// Calls `read` for an object that may be missing.
+    void object(std::string_view name, const std::function<void(ObjectChecker &)> &read);
+
+    [[nodiscard]] bool has(std::string_view name) const;
+    void fault(std::string_view name, FaultKind kind, std::string expected);
+    /// Reports every field that was not read.
+    void finish();
+
+private:
+    const boost::json::value *field(std::string_view name, bool required);
+
+    const boost::json::object *object_ = nullptr; // null: not an object, already reported
+    std::string pointer_;
+    Faults &faults_;
+    std::set<std::string, std::less<>> known_;
+};
+
+/// Text of an array's element; a fault when it is none or empty.
+[[nodiscard]] std::string elementText(
+    const boost::json::value &json, const std::string &pointer, Faults &faults);
+
+/// Parses text; reports a fault at the root when it is not JSON.
+[[nodiscard]] std::optional<boost::json::value> parseChecked(std::string_view text, Faults &faults);
+
+template <typename E>
+E ObjectChecker::choice(std::string_view name,
+    const std::vector<std::pair<std::string_view, E>> &choices, std::optional<E> fallback)
+{
+    std::string expected = "one of";
+    for (const std::pair<std::string_view, E> &known : choices) {
+        expected += ' ';
+        expected += known.first;
+    }
+    const boost::json::value *json = field(name, !fallback.has_value());
+    const E none = fallback.value_or(choices.front().second);
+    if (json == nullptr) {
+        return none;
+    }
+    if (!json->is_string()) {
+        fault(name, FaultKind::WrongType, expected);
+        return none;
+    }
+    for (const std::pair<std::string_view, E> &known : choices) {
+        if (json->get_string() == known.first) {
+            return known.second;
+        }
+    }
+    fault(name, FaultKind::OutOfRange, expected);
+    return none;
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/wire/calls.h
@@ -0,0 +1,235 @@
+/// Control calls between VMs: beats, proposals, announcements and queries.
+///
+/// A call goes to the leader of the journal unless its comment says otherwise; another VM answers
+/// with a Redirect.
+
+#pragma once
+
+#include <crocusmill/announcement.h>
+#include <crocusmill/slots.h>
+#include <crocusmill/statemachine.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace crocusmill
+{
+
+/// An attempt that ended without an answer; its slot is kept until its work has left.
+struct LingeringAttempt
+{
+    AttemptId attempt;
+    UpstreamId upstream;
+    Incarnation incarnation;
+};
+
+/// Sent by an entry at each interval; also what keeps its grants alive.
+struct BeatCall
+{
+    static constexpr const char *kind = "beat";
+    VmId vm;
+    EntryEpoch epoch;
+    NodeAddress address;
+    AvailabilityZone zone;
+    ReplicaId replica; // zero: no data folder
+    std::uint64_t number = 0; // rises; an older beat is ignored
+    bool draining = false;
+    bool full = false; // `held` has every line, and the reply is to have every line
+    LogIndex configuration; // in force on this entry
+    std::uint64_t directory = 0; // version of the directory that this entry has
+    std::vector<SlotLine> held;
+    std::vector<DemandLine> demand;
+    std::vector<std::uint32_t> heard; // directory numbers of upstreams heard without change
+    std::vector<LingeringAttempt> lingering;
+};
+
+struct EnvironmentInForce
+{
+    EnvironmentName name;
+    Stage stage = Stage::Production;
+    DocumentVersion version;
+    Digest digest;
+    std::string document;
+};
+
+struct DirectoryEntry
+{
+    std::uint32_t number = 0;
+    UpstreamId id;
+    ServiceKey service;
+    NodeAddress address;
+    Incarnation incarnation;
+    bool draining = false;
+    bool gone = false;
+};
+
+struct BeatReply
+{
+    static constexpr const char *kind = "beat_reply";
+    /// Nothing was taken in: the beat was an old one, or a full report is needed first.
+    bool stale = false;
+    Term term;
+    LogIndex configuration;
+    std::vector<EnvironmentInForce> environments; // those newer than the call's configuration
+    std::uint64_t directory = 0;
+    std::vector<DirectoryEntry> upstreams; // those newer than the call's directory
+    std::vector<SlotLine> grants;
+    Milliseconds grantLife {0};
+    std::vector<AttemptId> departed;
+    std::vector<Work> adopt; // to be carried on by this entry
+    std::vector<NodeAddress> replicas;
+};
+
+struct ProposeCall
+{
+    static constexpr const char *kind = "propose";
+    std::string command;
+};
+
+struct ProposeReply
+{
+    static constexpr const char *kind = "propose_reply";
+    /// Committed and applied; when false nothing is known about what became of it.
+    bool applied = false;
+    ApplyReply result;
+};
+
+struct AnnounceCall
+{
+    static constexpr const char *kind = "announce";
+    Announcement announcement;
+    bool farewell = false;
+};
+
+struct AnnounceReply
+{
+    static constexpr const char *kind = "announce_reply";
+    std::uint32_t number = 0; // in the directory
+    std::vector<LeaseLine> leases;
+    std::vector<AttemptId> stop;
+    std::vector<AttemptId> forget; // no longer to be listed as finished
+};
+
+/// Asks for the state of work, by its id.
+struct WorkCall
+{
+    static constexpr const char *kind = "work";
+    WorkId work;
+    /// The entry lost the answer of this attempt and asks to have it settled.
+    std::optional<AttemptId> settle;
+};
+
+struct WorkReply
+{
+    static constexpr const char *kind = "work_reply";
+    std::optional<Work> work;
+};
+
+struct WorkerCall
+{
+    static constexpr const char *kind = "worker";
+    WorkerAnnouncement announcement;
+};
+
+struct WorkerReply
+{
+    static constexpr const char *kind = "worker_reply";
+    std::vector<TaskOrder> start;
+    std::vector<TaskOrder> renew;
+    std::vector<TaskOrder> stop;
+};
+
+struct JobCall
+{
+    static constexpr const char *kind = "job";
+    JobId job;
+};
+
+struct JobReply
+{
+    static constexpr const char *kind = "job_reply";
+    std::optional<Job> job;
+    /// Why its tasks wait, when they do.
+    std::string waitsFor;
+};
+
+enum class OperatorAction {
+    ListVms,
+    ListMembers,
+    ListUpstreams,
+    ListWorkers,
+    ListJobs,
+    ListEnvironments,
+    DrainVm,
+    DrainUpstream,
+    DrainWorker,
+    ReplaceMember,
+};
+
+/// What an operator asks of the leader; `subject` is the VM, upstream or worker meant.
+struct OperatorCall
+{
+    static constexpr const char *kind = "operator";
+    OperatorAction action = OperatorAction::ListVms;
+    std::string subject;
+};
+
+/// JSON for the operator's tool.
+struct OperatorReply
+{
+    static constexpr const char *kind = "operator_reply";
+    bool found = true;
+    std::string body;
+};
+
+/// Asked of any VM: who it is and whether its replica has formed a cell.
+struct HelloCall
+{
+    static constexpr const char *kind = "hello";
+    VmId from;
+};
+
+struct HelloReply
+{
+    static constexpr const char *kind = "hello_reply";
+    VmId vm;
+    ReplicaId replica; // zero: no data folder
+    bool formed = false;
+    std::optional<NodeAddress> leader;
+    Membership membership; // empty while not formed
+};
+
+/// Tells a replica that has stored nothing yet which members form the cell.
+struct FormCall
+{
+    static constexpr const char *kind = "form";
+    Membership membership;
+};
+
+struct FormReply
+{
+    static constexpr const char *kind = "form_reply";
+    bool accepted = false;
+};
+
+/// The VM asked does not lead.
+struct Redirect
+{
+    static constexpr const char *kind = "redirect";
+    std::optional<NodeAddress> leader;
+};
+
+using Call = std::variant<BeatCall, ProposeCall, AnnounceCall, WorkCall, WorkerCall, JobCall,
+    OperatorCall, HelloCall, FormCall>;
+using Reply = std::variant<BeatReply, ProposeReply, AnnounceReply, WorkReply, WorkerReply, JobReply,
+    OperatorReply, HelloReply, FormReply, Redirect>;
+
+[[nodiscard]] std::string encodeCall(const Call &call);
+[[nodiscard]] Result<Call> decodeCall(std::string_view text);
+[[nodiscard]] std::string encodeReply(const Reply &reply);
+[[nodiscard]] Result<Reply> decodeReply(std::string_view text);
+
+} // namespace crocusmill
