--- /dev/null
+++ b/src/wire/commandjson.h
@@ -0,0 +1,58 @@
+/// Descriptions of commands and recorded state for the JSON codec.
+
+#pragma once
+
+#include "src/wire/json.h"
+
+#include <crocusmill/statemachine.h>
+
+namespace crocusmill
+{
+
+BOOST_DESCRIBE_ENUM(Execution, NotRun, Unknown, Ran)
+BOOST_DESCRIBE_ENUM(WorkClass, Quick, Deferrable, Heavy)
+BOOST_DESCRIBE_ENUM(AttemptEnd, NotRun, Lost)
+BOOST_DESCRIBE_ENUM(JobClass, Service, Batch, Gang)
+BOOST_DESCRIBE_ENUM(TaskEnd, Succeeded, Failed, Lost, Preempted)
+BOOST_DESCRIBE_ENUM(WorkState, Admitted, Started, Ended, Revoked)
+BOOST_DESCRIBE_ENUM(AttemptState, Started, Answered, NotRun, Lost)
+BOOST_DESCRIBE_ENUM(TaskState, Waiting, Placed, Done, GivenUp)
+BOOST_DESCRIBE_ENUM(StateError, None, Undecodable, VersionConflict, VersionStale, NotTried,
+    HostTaken, KeyReused, NoSuchWork, AlreadyStarted, AlreadyEnded, PreviousAttemptLives,
+    NoSuchAttempt, NoSuchJob, JobExists, OverQuota, WrongPlacement)
+
+BOOST_DESCRIBE_STRUCT(Header, (), (name, value))
+BOOST_DESCRIBE_STRUCT(StoredRequest, (), (method, target, headers, body))
+BOOST_DESCRIBE_STRUCT(StoredAnswer, (), (status, headers, body, bodyOmitted))
+BOOST_DESCRIBE_STRUCT(TryEnvironment, (), (environment, version, digest, document, by))
+BOOST_DESCRIBE_STRUCT(PromoteEnvironment, (), (environment, version, digest, by))
+BOOST_DESCRIBE_STRUCT(AdmitWork, (),
+    (work, environment, service, key, digest, workClass, repeatable, exclusive, owner, at, deadline,
+        request))
+BOOST_DESCRIBE_STRUCT(StartWork, (), (work, attempt, upstream, incarnation, owner))
+BOOST_DESCRIBE_STRUCT(EndAttempt, (), (work, attempt, end))
+BOOST_DESCRIBE_STRUCT(FinishWork, (), (work, attempt, answer, at))
+BOOST_DESCRIBE_STRUCT(RevokeWork, (), (work, cancel, at))
+BOOST_DESCRIBE_STRUCT(AdoptWork, (), (work, owner))
+BOOST_DESCRIBE_STRUCT(ForgetWork, (), (before))
+BOOST_DESCRIBE_STRUCT(TaskSize, (), (milliCores, memory, accelerators))
+BOOST_DESCRIBE_STRUCT(SubmitJob, (),
+    (job, environment, team, jobClass, urgent, tasks, size, expectedRun, command, at))
+BOOST_DESCRIBE_STRUCT(TaskPlacement, (), (task, attempt, worker, incarnation))
+BOOST_DESCRIBE_STRUCT(PlaceTasks, (), (job, placements))
+BOOST_DESCRIBE_STRUCT(EndTask, (), (job, task, attempt, end))
+BOOST_DESCRIBE_STRUCT(CancelJob, (), (job))
+BOOST_DESCRIBE_STRUCT(QuarantineWorker, (), (worker, quarantined))
+BOOST_DESCRIBE_STRUCT(PromotionConflict, (), (version, digest, by))
+BOOST_DESCRIBE_STRUCT(ApplyReply, (), (error, work, repeated, conflict))
+
+BOOST_DESCRIBE_STRUCT(TriedDocument, (), (version, digest, document, by, since))
+BOOST_DESCRIBE_STRUCT(EnvironmentState, (), (name, tried, production))
+BOOST_DESCRIBE_STRUCT(Attempt, (), (id, upstream, incarnation, state))
+BOOST_DESCRIBE_STRUCT(Work, (),
+    (id, environment, service, key, digest, workClass, repeatable, exclusive, owner, admittedAt,
+        deadline, endedAt, state, cancelled, attempts, request, answer))
+BOOST_DESCRIBE_STRUCT(TaskRecord, (), (state, attempt, failures, worker, incarnation))
+BOOST_DESCRIBE_STRUCT(Job, (), (spec, tasks, cancelled))
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/wire/json.h
@@ -0,0 +1,184 @@
+/// Conversion of described structs, strong types and tagged variants to JSON and back.
+///
+/// One codec serves the journal's commands, its snapshots and the calls between VMs, so that a
+/// record has one form wherever it is seen.
+
+#pragma once
+
+#include <crocusmill/error.h>
+#include <crocusmill/ids.h>
+
+#include <boost/describe.hpp>
+#include <boost/json.hpp>
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace crocusmill
+{
+
+enum class CodecError {
+    Malformed = 1,
+    UnknownKind,
+};
+
+template <> struct ErrorText<CodecError>
+{
+    static constexpr const char *category = "codec";
+    static constexpr std::string_view text(CodecError error)
+    {
+        return error == CodecError::Malformed ? "malformed record" : "unknown kind of record";
+    }
+};
+
+template <typename Tag, typename Rep>
+void tag_invoke(
+    boost::json::value_from_tag, boost::json::value &json, const StrongValue<Tag, Rep> &id)
+{
+    json = boost::json::value_from(id.value());
+}
+
+template <typename Tag, typename Rep>
+boost::json::result<StrongValue<Tag, Rep>> tag_invoke(
+    boost::json::try_value_to_tag<StrongValue<Tag, Rep>>, const boost::json::value &json)
+{
+    boost::json::result<Rep> rep = boost::json::try_value_to<Rep>(json);
+    if (!rep) {
+        return rep.error();
+    }
+    return StrongValue<Tag, Rep> {std::move(*rep)};
+}
+
+} // namespace crocusmill
+
+namespace boost::json
+{
+
+template <typename Rep, typename Period>
+void tag_invoke(value_from_tag, value &json, const std::chrono::duration<Rep, Period> &duration)
+{
+    json = static_cast<std::int64_t>(duration.count());
+}
+
+template <typename Rep, typename Period>
+result<std::chrono::duration<Rep, Period>> tag_invoke(
+    try_value_to_tag<std::chrono::duration<Rep, Period>>, const value &json)
+{
+    result<std::int64_t> count = try_value_to<std::int64_t>(json);
+    if (!count) {
+        return count.error();
+    }
+    return std::chrono::duration<Rep, Period> {*count};
+}
+
+inline void tag_invoke(value_from_tag, value &json, const crocusmill::WallTime &time)
+{
+    json = static_cast<std::int64_t>(time.time_since_epoch().count());
+}
+
+inline result<crocusmill::WallTime> tag_invoke(
+    try_value_to_tag<crocusmill::WallTime>, const value &json)
+{
+    result<std::int64_t> count = try_value_to<std::int64_t>(json);
+    if (!count) {
+        return count.error();
+    }
+    return crocusmill::WallTime {crocusmill::Milliseconds {*count}};
+}
+
+} // namespace boost::json
+
+namespace crocusmill
+{
+
+/// Bodies are arbitrary bytes, so invalid UTF-8 passes through strings unchanged.
+[[nodiscard]] inline boost::json::parse_options byteTransparent()
+{
+    boost::json::parse_options options;
+    options.allow_invalid_utf8 = true;
+    options.max_depth = 32;
+    return options;
+}
+
+[[nodiscard]] inline Result<boost::json::value> parseJson(std::string_view text)
+{
+    boost::system::error_code error;
+    boost::json::value json = boost::json::parse(text, error, {}, byteTransparent());
+    if (error) {
+        return CodecError::Malformed;
+    }
+    return json;
+}
+
+template <typename T> [[nodiscard]] std::string encodeStruct(const T &record)
+{
+    return boost::json::serialize(boost::json::value_from(record));
+}
+
+template <typename T> [[nodiscard]] Result<T> decodeStruct(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(boost::json::value json, parseJson(text));
+    boost::json::result<T> record = boost::json::try_value_to<T>(json);
+    if (!record) {
+        return CodecError::Malformed;
+    }
+    return std::move(*record);
+}
+
+/// `{"kind": T::kind, "body": ...}` for the alternative held.
+template <typename... Ts> [[nodiscard]] std::string encodeVariant(const std::variant<Ts...> &record)
+{
+    return std::visit(
+        [](const auto &body) {
+            boost::json::object object;
+            object["kind"] = std::decay_t<decltype(body)>::kind;
+            object["body"] = boost::json::value_from(body);
+            return boost::json::serialize(object);
+        },
+        record);
+}
+
+template <typename Variant, typename T>
+[[nodiscard]] bool decodeAlternative(
+    std::string_view kind, const boost::json::value &body, Result<Variant> &decoded)
+{
+    if (kind != T::kind) {
+        return false;
+    }
+    boost::json::result<T> record = boost::json::try_value_to<T>(body);
+    if (record) {
+        decoded = Variant {std::move(*record)};
+    } else {
+        decoded = CodecError::Malformed;
+    }
+    return true;
+}
+
+template <typename... Ts>
+[[nodiscard]] Result<std::variant<Ts...>> decodeVariant(
+    std::string_view text, std::type_identity<std::variant<Ts...>> /*of*/)
+{
+    BOOST_OUTCOME_TRY(boost::json::value json, parseJson(text));
+    const boost::json::object *object = json.if_object();
+    if (object == nullptr) {
+        return CodecError::Malformed;
+    }
+    const boost::json::value *kind = object->if_contains("kind");
+    const boost::json::value *body = object->if_contains("body");
+    if (kind == nullptr || !kind->is_string() || body == nullptr) {
+        return CodecError::Malformed;
+    }
+    const std::string_view name = kind->get_string();
+    Result<std::variant<Ts...>> decoded = CodecError::UnknownKind;
+    static_cast<void>((decodeAlternative<std::variant<Ts...>, Ts>(name, *body, decoded) || ...));
+    return decoded;
+}
+
+template <typename Variant> [[nodiscard]] Result<Variant> decodeVariant(std::string_view text)
+{
+    return decodeVariant(text, std::type_identity<Variant> {});
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/support/build.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Configures and builds into FOLDER (default: build): build.sh [FOLDER] [TARGET ...]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:-build}
+shift || true
+launcher=()
+if command -v ccache >/dev/null; then launcher=(-DCMAKE_CXX_COMPILER_LAUNCHER=ccache); fi
+cmake -S . -B "$build" -G Ninja "${launcher[@]}"
+ninja -C "$build" -j "${CROCUSMILL_JOBS:-3}" "$@"
--- /dev/null
+++ b/test/consensus.cpp
@@ -0,0 +1,172 @@
+/// The replicated log against one plain history, under drops, repeats, reordering and restarts.
+
+#include "test/fakes/network.h"
+
+#include <crocusmill/consensus.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+using fakes::Network;
+
+std::set<std::string> payloadsOf(const Network &network)
+{
+    std::set<std::string> payloads;
+    for (const std::pair<const LogIndex, LogEntry> &known : network.history()) {
+        if (known.second.kind == EntryKind::Command) {
+            payloads.insert(known.second.payload);
+        }
+    }
+    return payloads;
+}
+
+LogIndex proposeOne(Network &network, const std::string &payload)
+{
+    const Result<LogIndex> index = network.leader()->propose(payload);
+    REQUIRE(index.has_value());
+    network.settle();
+    return index.value();
+}
+
+} // namespace
+
+TEST_CASE("a leader is elected and commits")
+{
+    Network network {3, 1};
+    network.runFor(Milliseconds {3000});
+    REQUIRE(network.leader() != nullptr);
+    const LogIndex index = proposeOne(network, "one");
+    network.runFor(Milliseconds {200});
+    CHECK(network.history().at(index).payload == "one");
+    CHECK(network.leader()->isReadyLeader());
+    CHECK(network.leader()->holdsLease(network.now()));
+}
+
+TEST_CASE("a leader that is cut off loses its lease before another is elected")
+{
+    Network network {3, 2};
+    network.runFor(Milliseconds {3000});
+    const ReplicaId old = network.leader()->self();
+    network.cut(old, true);
+    for (int step = 0; step < 300; ++step) {
+        network.runFor(Milliseconds {10});
+        REQUIRE(network.leaseHolders() <= 1);
+    }
+    REQUIRE(network.leader() != nullptr);
+    CHECK(network.leader()->self() != old);
+    CHECK_FALSE(network.at(old).holdsLease(network.now()));
+}
+
+TEST_CASE("a replica that just restarted does not help to depose a leader with a lease")
+{
+    Network network {3, 3};
+    network.runFor(Milliseconds {3000});
+    const Consensus &leader = *network.leader();
+    const ReplicaId follower {leader.self() == ReplicaId {1} ? 2U : 1U};
+    network.crash(follower);
+    network.boot(follower);
+    Message message {leader.self(), follower, Term {leader.term().value() + 5},
+        VoteRequest {false, LogIndex {1000}, Term {1000}}};
+    network.at(follower).receive(message, network.now());
+    CHECK(network.at(follower).term() == leader.term());
+}
+
+TEST_CASE("a lost disk comes back under a new identity, and a second loss is survived")
+{
+    Network network {3, 4};
+    network.runFor(Milliseconds {3000});
+    const LogIndex before = proposeOne(network, "before");
+    network.runFor(Milliseconds {200});
+    const ReplicaId lost {network.leader()->self() == ReplicaId {1} ? 2U : 1U};
+    network.crash(lost);
+    const ReplicaId fresh {11};
+    network.bootBlank(fresh);
+    const Member spare {fresh, VmId {"vm-new"}, {}, MemberRole::Learner};
+    REQUIRE(network.leader()->addLearner(spare).has_value());
+    network.runFor(Milliseconds {500});
+    REQUIRE(network.leader()->caughtUp(fresh));
+    CHECK_FALSE(network.leader()->membership().isVoter(fresh));
+    REQUIRE(network.leader()->removeMember(lost).has_value());
+    network.runFor(Milliseconds {500});
+    REQUIRE(network.leader()->promoteLearner(fresh).has_value());
+    network.runFor(Milliseconds {500});
+    CHECK(network.leader()->membership().voterCount() == 3);
+
+    network.crash(network.leader()->self());
+    network.runFor(Milliseconds {4000});
+    REQUIRE(network.leader() != nullptr);
+    const LogIndex after = proposeOne(network, "after");
+    network.runFor(Milliseconds {300});
+    CHECK(network.history().at(after).payload == "after");
+    CHECK(network.history().at(before).payload == "before");
+    CHECK(network.agreed());
+}
+
+TEST_CASE("one membership change at a time, and only in a term that has committed")
+{
+    Network network {3, 5};
+    network.runFor(Milliseconds {3000});
+    const Member spare {ReplicaId {11}, VmId {"vm-new"}, {}, MemberRole::Learner};
+    const Member other {ReplicaId {12}, VmId {"vm-other"}, {}, MemberRole::Learner};
+    REQUIRE(network.leader()->addLearner(spare).has_value());
+    const Result<LogIndex> second = network.leader()->addLearner(other);
+    REQUIRE(second.has_error());
+    CHECK(second.error() == ConsensusError::ChangeInProgress);
+}
+
+TEST_CASE("random faults never split the history, lose a commit or give two leases")
+{
+    const bool held = rc::check([](std::uint64_t seed) {
+        const std::size_t voters = seed % 2 == 0 ? 3 : 5;
+        Network network {voters, seed};
+        std::mt19937_64 random {seed};
+        std::set<std::string> committed;
+        for (int step = 0; step < 400; ++step) {
+            const ReplicaId victim {1 + random() % voters};
+            const std::uint64_t action = random() % 100;
+            if (action < 3 && network.isUp(victim)) {
+                network.crash(victim);
+            } else if (action < 8 && !network.isUp(victim)) {
+                network.boot(victim);
+            } else if (action < 10) {
+                network.cut(victim, random() % 2 == 0);
+            } else if (action < 40 && network.leader() != nullptr) {
+                static_cast<void>(network.leader()->propose(std::to_string(step)));
+                network.settle();
+            } else if (action < 42 && network.isUp(victim)) {
+                network.compact(victim);
+            }
+            network.advance(Milliseconds {random() % 60});
+            network.deliver(random() % 12, 20);
+            RC_ASSERT(network.agreed());
+            RC_ASSERT(network.leaseHolders() <= 1U);
+            const std::set<std::string> now = payloadsOf(network);
+            RC_ASSERT(std::includes(now.begin(), now.end(), committed.begin(), committed.end()));
+            committed = now;
+        }
+        for (std::size_t i = 1; i <= voters; ++i) {
+            network.cut(ReplicaId {i}, false);
+            if (!network.isUp(ReplicaId {i})) {
+                network.boot(ReplicaId {i});
+            }
+        }
+        // An election, and a snapshot that was lost and is sent again.
+        network.runFor(
+            4 * ConsensusSettings {}.electionTimeout + 2 * ConsensusSettings {}.snapshotResend);
+        RC_ASSERT(network.leader() != nullptr);
+        const LogIndex last = network.leader()->commitIndex();
+        for (std::size_t i = 1; i <= voters; ++i) {
+            RC_ASSERT(network.at(ReplicaId {i}).appliedIndex() == last);
+        }
+        RC_ASSERT(network.agreed());
+    });
+    CHECK(held);
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/test/placement.cpp
@@ -0,0 +1,151 @@
+/// Placement of tasks against a naive count of each worker's room.
+
+#include <crocusmill/placement.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <random>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+constexpr std::uint64_t gigabyte = 1ULL << 30U;
+
+PlacementWorker worker(std::uint32_t number, std::uint32_t cores, std::uint64_t gigabytes)
+{
+    PlacementWorker spec;
+    spec.id = WorkerId {"w" + std::to_string(number)};
+    spec.zone = AvailabilityZone {"z" + std::to_string(number % 3)};
+    spec.rack = RackId {"r" + std::to_string(number / 8)};
+    spec.incarnation = Incarnation {"i"};
+    spec.capacity = {cores * 1000, ByteCount {gigabytes * gigabyte}, 0};
+    return spec;
+}
+
+PlacementJob job(const std::string &id, JobClass jobClass, std::uint32_t tasks, std::uint32_t cores)
+{
+    PlacementJob wanted;
+    wanted.id = JobId {id};
+    wanted.jobClass = jobClass;
+    wanted.size = {cores * 1000, ByteCount {gigabyte}, 0};
+    for (std::uint32_t task = 0; task < tasks; ++task) {
+        wanted.waiting.push_back(task);
+    }
+    return wanted;
+}
+
+} // namespace
+
+TEST_CASE("a gang starts whole or not at all and holds nothing while it waits")
+{
+    Placement placement {PlacementPolicy::Fair};
+    for (std::uint32_t i = 0; i < 4; ++i) {
+        placement.setWorker(worker(i, 4, 64));
+    }
+    const PlacementResult first = placement.place(job("a", JobClass::Gang, 3, 4), 100);
+    CHECK(first.chosen.size() == 3);
+    const PlacementResult second = placement.place(job("b", JobClass::Gang, 2, 4), 100);
+    CHECK(second.chosen.empty());
+    CHECK(second.obstacle == PlacementObstacle::NoRoom);
+    CHECK(placement.place(job("c", JobClass::Batch, 1, 4), 100).chosen.size() == 1);
+}
+
+TEST_CASE("a service spreads over zones and racks")
+{
+    Placement placement {PlacementPolicy::Fair};
+    for (std::uint32_t i = 0; i < 24; ++i) {
+        placement.setWorker(worker(i, 64, 256));
+    }
+    const PlacementResult placed = placement.place(job("s", JobClass::Service, 9, 1), 100);
+    REQUIRE(placed.chosen.size() == 9);
+    std::map<std::string, int> zones;
+    std::map<std::string, int> racks;
+    for (const ChosenWorker &chosen : placed.chosen) {
+        const int number = std::stoi(chosen.worker.value().substr(1));
+        ++zones[std::to_string(number % 3)];
+        ++racks[std::to_string(number / 8)];
+    }
+    for (const std::pair<const std::string, int> &zone : zones) {
+        CHECK(zone.second == 3);
+    }
+    CHECK(racks.size() == 3);
+}
+
+TEST_CASE("what can never fit is said so at once")
+{
+    Placement placement {PlacementPolicy::Fair};
+    placement.setWorker(worker(0, 4, 64));
+    CHECK(placement.feasible(job("a", JobClass::Batch, 1, 5)) == PlacementObstacle::NeverFits);
+    CHECK(placement.feasible(job("b", JobClass::Gang, 2, 4)) == PlacementObstacle::NeverFits);
+    CHECK(placement.feasible(job("c", JobClass::Batch, 2, 4)) == PlacementObstacle::None);
+}
+
+TEST_CASE("a worker that is closed gets nothing new")
+{
+    Placement placement {PlacementPolicy::Fair};
+    placement.setWorker(worker(0, 4, 64));
+    placement.removeWorker(WorkerId {"w0"});
+    CHECK(placement.place(job("a", JobClass::Batch, 1, 1), 1).chosen.empty());
+}
+
+TEST_CASE("no worker is ever given more than it holds, whatever comes and goes")
+{
+    const bool held = rc::check([](std::uint64_t seed) {
+        std::mt19937_64 random {seed};
+        Placement placement {PlacementPolicy::Fair};
+        std::map<WorkerId, TaskSize> used; // the naive version: plain sums
+        std::map<WorkerId, TaskSize> capacity;
+        for (std::uint32_t i = 0; i < 8; ++i) {
+            const PlacementWorker spec = worker(i, 2 + i, 4 + i);
+            placement.setWorker(spec);
+            capacity[spec.id] = spec.capacity;
+            used[spec.id] = {};
+        }
+        struct Held
+        {
+            PlacementJob job;
+            WorkerId worker;
+        };
+        std::vector<Held> running;
+        for (int step = 0; step < 200; ++step) {
+            if (random() % 3 > 0) {
+                const JobClass jobClass = static_cast<JobClass>(random() % 3);
+                PlacementJob wanted = job(std::to_string(step), jobClass,
+                    static_cast<std::uint32_t>(1 + random() % 4),
+                    static_cast<std::uint32_t>(1 + random() % 3));
+                const PlacementResult placed = placement.place(wanted, 4);
+                const bool gang = jobClass == JobClass::Gang;
+                RC_ASSERT(!gang || placed.chosen.empty()
+                    || placed.chosen.size() == wanted.waiting.size());
+                for (const ChosenWorker &chosen : placed.chosen) {
+                    used[chosen.worker].milliCores += wanted.size.milliCores;
+                    used[chosen.worker].memory =
+                        ByteCount {used[chosen.worker].memory.value() + wanted.size.memory.value()};
+                    running.push_back({wanted, chosen.worker});
+                }
+            } else if (!running.empty()) {
+                const std::size_t at = random() % running.size();
+                const Held ended = running[at];
+                running.erase(running.begin() + static_cast<std::ptrdiff_t>(at));
+                placement.release(ended.worker, ended.job.id, ended.job.jobClass, ended.job.size);
+                used[ended.worker].milliCores -= ended.job.size.milliCores;
+                used[ended.worker].memory =
+                    ByteCount {used[ended.worker].memory.value() - ended.job.size.memory.value()};
+            }
+            for (const std::pair<const WorkerId, TaskSize> &known : used) {
+                const TaskSize &most = capacity[known.first];
+                RC_ASSERT(known.second.milliCores <= most.milliCores);
+                RC_ASSERT(known.second.memory.value() <= most.memory.value());
+                RC_ASSERT(placement.freeOn(known.first).milliCores
+                    == most.milliCores - known.second.milliCores);
+            }
+        }
+    });
+    CHECK(held);
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/test/statemachine.cpp
@@ -0,0 +1,298 @@
+/// The recorded state against a naive version, and snapshots.
+
+#include <crocusmill/statemachine.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <random>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+std::string documentText(std::uint64_t version, const std::string &host)
+{
+    return R"({"name": "rocola", "version": )" + std::to_string(version) + R"(, "hosts": [")" + host
+        + R"("]})";
+}
+
+TryEnvironment trial(std::uint64_t version, const std::string &host = "rocola.test")
+{
+    const std::string text = documentText(version, host);
+    return {EnvironmentName {"rocola"}, DocumentVersion {version}, digestOf(text), text,
+        OperatorName {"ana"}};
+}
+
+PromoteEnvironment promotion(const TryEnvironment &tried, const std::string &by = "ana")
+{
+    return {tried.environment, tried.version, tried.digest, OperatorName {by}};
+}
+
+AdmitWork admission(const std::string &id, bool repeatable, bool exclusive)
+{
+    AdmitWork admit;
+    admit.work = WorkId {id};
+    admit.environment = EnvironmentName {"rocola"};
+    admit.key = IdempotencyKey {"key-" + id};
+    admit.digest = Digest {"d"};
+    admit.repeatable = repeatable;
+    admit.exclusive = exclusive;
+    admit.owner = EntryEpoch {"e1"};
+    return admit;
+}
+
+StartWork start(const std::string &id, const std::string &attempt)
+{
+    return {
+        WorkId {id}, AttemptId {attempt}, UpstreamId {"u"}, Incarnation {"i"}, EntryEpoch {"e1"}};
+}
+
+/// Applies commands one after another.
+class Applier
+{
+public:
+    ApplyReply operator()(const Command &command)
+    {
+        index_ = next(index_);
+        return state.apply(command, index_);
+    }
+
+    StateMachine state;
+
+private:
+    LogIndex index_;
+};
+
+/// A version that is plainly right: for each key, what may be said and done.
+struct NaiveWork
+{
+    bool admitted = false;
+    bool ended = false;
+    std::map<std::string, AttemptState> attempts;
+    std::vector<std::string> order;
+
+    bool mayStart(bool repeatable, bool exclusive) const
+    {
+        if (!admitted || ended) {
+            return false;
+        }
+        bool anyRan = false;
+        for (const std::string &attempt : order) {
+            anyRan = anyRan || attempts.at(attempt) != AttemptState::NotRun;
+        }
+        if (!repeatable && anyRan) {
+            return false;
+        }
+        const bool lastLives = !order.empty() && attempts.at(order.back()) == AttemptState::Started;
+        return !(exclusive && lastLives);
+    }
+};
+
+} // namespace
+
+TEST_CASE("promotion is a compare-and-set on version and digest")
+{
+    Applier apply;
+    const TryEnvironment first = trial(2, "rocola.test");
+    const TryEnvironment rival = trial(2, "other.test");
+    CHECK(apply(first).error == StateError::None);
+    CHECK(apply(rival).error == StateError::None);
+    CHECK(apply(promotion(first, "ana")).error == StateError::None);
+
+    const ApplyReply resend = apply(promotion(first, "ana"));
+    CHECK(resend.error == StateError::None);
+    CHECK(resend.repeated);
+
+    const ApplyReply conflict = apply(promotion(rival, "luis"));
+    CHECK(conflict.error == StateError::VersionConflict);
+    REQUIRE(conflict.conflict.has_value());
+    CHECK(conflict.conflict->digest == first.digest);
+    CHECK(conflict.conflict->by == OperatorName {"ana"});
+
+    CHECK(apply(trial(1)).error == StateError::VersionStale);
+    const TryEnvironment later = trial(3);
+    CHECK(apply(promotion(later)).error == StateError::NotTried);
+    apply(later);
+    CHECK(apply(promotion(later)).error == StateError::None);
+    CHECK(apply(promotion(first)).error == StateError::VersionStale);
+}
+
+TEST_CASE("a host belongs to one environment")
+{
+    Applier apply;
+    const TryEnvironment mine = trial(1);
+    apply(mine);
+    apply(promotion(mine));
+    TryEnvironment other = mine;
+    other.environment = EnvironmentName {"arches"};
+    other.document = R"({"name": "arches", "version": 1, "hosts": ["rocola.test"]})";
+    other.digest = digestOf(other.document);
+    CHECK(apply(other).error == StateError::HostTaken);
+}
+
+TEST_CASE("a key joins the same request and refuses another body")
+{
+    Applier apply;
+    CHECK(apply(admission("a", false, false)).error == StateError::None);
+    AdmitWork again = admission("b", false, false);
+    again.key = IdempotencyKey {"key-a"};
+    const ApplyReply joined = apply(again);
+    CHECK(joined.work == WorkId {"a"});
+    CHECK(joined.repeated);
+    again.digest = Digest {"other"};
+    CHECK(apply(again).error == StateError::KeyReused);
+}
+
+TEST_CASE("a key whose work was proved not run may be tried again")
+{
+    Applier apply;
+    apply(admission("a", false, false));
+    CHECK(apply(RevokeWork {WorkId {"a"}, false, {}}).error == StateError::None);
+    CHECK(apply.state.findWork(WorkId {"a"})->execution() == Execution::NotRun);
+    AdmitWork again = admission("b", false, false);
+    again.key = IdempotencyKey {"key-a"};
+    CHECK(apply(again).work == WorkId {"b"});
+    CHECK(apply(start("a", "e1-1")).error == StateError::AlreadyEnded);
+    CHECK(apply(start("b", "e1-2")).error == StateError::None);
+}
+
+TEST_CASE("admitted work is not called not run while it may still start")
+{
+    Applier apply;
+    apply(admission("a", false, false));
+    CHECK(apply.state.findWork(WorkId {"a"})->execution() == Execution::Unknown);
+    apply(start("a", "e1-1"));
+    CHECK(apply(RevokeWork {WorkId {"a"}, false, {}}).error == StateError::AlreadyStarted);
+    apply(EndAttempt {WorkId {"a"}, AttemptId {"e1-1"}, AttemptEnd::Lost});
+    CHECK(apply(start("a", "e1-2")).error == StateError::AlreadyStarted);
+    CHECK(apply(RevokeWork {WorkId {"a"}, false, {}}).error == StateError::None);
+    CHECK(apply.state.findWork(WorkId {"a"})->execution() == Execution::Unknown);
+}
+
+TEST_CASE("ended work is forgotten in the order of ending, and its key with it")
+{
+    Applier apply;
+    apply(admission("a", true, false));
+    apply(RevokeWork {WorkId {"a"}, false, WallTime {Milliseconds {10}}});
+    apply(ForgetWork {WallTime {Milliseconds {10}}});
+    CHECK(apply.state.findWork(WorkId {"a"}) != nullptr);
+    apply(ForgetWork {WallTime {Milliseconds {11}}});
+    CHECK(apply.state.findWork(WorkId {"a"}) == nullptr);
+    CHECK(apply.state.findKey(EnvironmentName {"rocola"}, IdempotencyKey {"key-a"}) == nullptr);
+}
+
+TEST_CASE("the ledger agrees with the naive version on every sequence of commands")
+{
+    const bool held = rc::check([](std::uint64_t seed, bool repeatable, bool exclusive) {
+        std::mt19937_64 random {seed};
+        Applier apply;
+        NaiveWork naive;
+        for (int step = 0; step < 60; ++step) {
+            const std::string attempt = "e1-" + std::to_string(random() % 5);
+            const bool known = naive.attempts.contains(attempt);
+            switch (random() % 5) {
+            case 0:
+                apply(admission("a", repeatable, exclusive));
+                naive.admitted = true;
+                break;
+            case 1: {
+                const ApplyReply reply = apply(start("a", attempt));
+                if (!known) {
+                    RC_ASSERT(
+                        (reply.error == StateError::None) == naive.mayStart(repeatable, exclusive));
+                }
+                if (!known && reply.error == StateError::None) {
+                    naive.attempts[attempt] = AttemptState::Started;
+                    naive.order.push_back(attempt);
+                }
+                break;
+            }
+            case 2: {
+                const bool lost = random() % 2 == 0;
+                apply(EndAttempt {WorkId {"a"}, AttemptId {attempt},
+                    lost ? AttemptEnd::Lost : AttemptEnd::NotRun});
+                if (known && naive.attempts[attempt] == AttemptState::Started) {
+                    naive.attempts[attempt] = lost ? AttemptState::Lost : AttemptState::NotRun;
+                }
+                break;
+            }
+            case 3: {
+                const ApplyReply reply =
+                    apply(FinishWork {WorkId {"a"}, AttemptId {attempt}, {}, {}});
+                const bool finishes = naive.admitted && !naive.ended && known;
+                RC_ASSERT((reply.error == StateError::None) == finishes);
+                if (finishes) {
+                    naive.attempts[attempt] = AttemptState::Answered;
+                    naive.ended = true;
+                }
+                break;
+            }
+            default: {
+                if (random() % 8 != 0) {
+                    break;
+                }
+                const bool lives = std::any_of(naive.attempts.begin(), naive.attempts.end(),
+                    [](const auto &one) { return one.second == AttemptState::Started; });
+                const ApplyReply reply = apply(RevokeWork {WorkId {"a"}, false, {}});
+                const bool revokes = naive.admitted && !naive.ended && !lives;
+                RC_ASSERT((reply.error == StateError::None) == revokes);
+                naive.ended = naive.ended || revokes;
+                break;
+            }
+            }
+            StateMachine restored;
+            RC_ASSERT(restored.restore(apply.state.snapshot()).has_value());
+            RC_ASSERT(restored.snapshot() == apply.state.snapshot());
+        }
+    });
+    CHECK(held);
+}
+
+TEST_CASE("commands survive their encoding, whatever bytes a body has")
+{
+    StoredAnswer answer;
+    answer.status = 200;
+    for (int byte = 0; byte < 256; ++byte) {
+        answer.body.push_back(static_cast<char>(byte));
+    }
+    const FinishWork finish {WorkId {"a"}, AttemptId {"e-1"}, answer, {}};
+    const Result<Command> decoded = decodeCommand(encodeCommand(Command {finish}));
+    REQUIRE(decoded.has_value());
+    CHECK(std::get<FinishWork>(decoded.value()).answer.body == answer.body);
+    CHECK(decodeCommand(R"({"kind": "from_the_future", "body": {}})").has_error());
+    CHECK(decodeCommand("{").has_error());
+}
+
+TEST_CASE("a gang is placed whole or refused, and quotas bound a team's cores")
+{
+    Applier apply;
+    TryEnvironment tried = trial(1);
+    tried.document = R"({"name": "rocola", "version": 1, "hosts": ["h"],
+        "teams": [{"name": "t", "quota": {"cores": 3}}]})";
+    tried.digest = digestOf(tried.document);
+    apply(tried);
+    apply(promotion(tried));
+    SubmitJob job;
+    job.job = JobId {"j"};
+    job.environment = EnvironmentName {"rocola"};
+    job.team = TeamName {"t"};
+    job.tasks = 4;
+    job.size.milliCores = 1000;
+    apply(job);
+    PlaceTasks place {job.job, {}};
+    for (std::uint32_t task = 0; task < 4; ++task) {
+        place.placements.push_back({task, 1, WorkerId {"w"}, Incarnation {"i"}});
+    }
+    CHECK(apply(place).error == StateError::OverQuota);
+    place.placements.pop_back();
+    CHECK(apply(place).error == StateError::None);
+    CHECK(apply.state.reservedCores(job.environment, job.team) == 3);
+    CHECK(apply(place).error == StateError::WrongPlacement);
+    apply(EndTask {job.job, 0, 1, TaskEnd::Succeeded});
+    CHECK(apply.state.reservedCores(job.environment, job.team) == 2);
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/test/tracing.cpp
@@ -0,0 +1,41 @@
+/// Trace contexts and kept spans.
+
+#include "src/net/tracing.h"
+
+#include <catch2/catch.hpp>
+
+namespace crocusmill
+{
+
+TEST_CASE("a traceparent is read and written back")
+{
+    const std::string header = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    const std::optional<TraceContext> context = TraceContext::parse(header);
+    REQUIRE(context.has_value());
+    CHECK(context->trace.value() == "0af7651916cd43dd8448eb211c80319c");
+    CHECK(context->header(context->parent) == header);
+}
+
+TEST_CASE("malformed traceparents are not taken over")
+{
+    CHECK_FALSE(TraceContext::parse("").has_value());
+    CHECK_FALSE(TraceContext::parse("00-0AF7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"));
+    CHECK_FALSE(TraceContext::parse("00-00000000000000000000000000000000-b7ad6b7169203331-01"));
+}
+
+TEST_CASE("spans of one trace are found, and only so many are kept")
+{
+    TraceSettings settings;
+    settings.kept = 2;
+    Tracer tracer {settings, VmId {"vm-1"}};
+    const TraceContext context = TraceContext::fresh();
+    for (int i = 0; i < 3; ++i) {
+        const OpenSpan span {tracer, context.trace, {}, "span " + std::to_string(i)};
+    }
+    const std::string found = tracer.find(context.trace);
+    CHECK(found.find("span 0") == std::string::npos);
+    CHECK(found.find("span 2") != std::string::npos);
+    CHECK(tracer.find(TraceContext::fresh().trace) == "[]");
+}
+
+} // namespace crocusmill
