--- a/bench/standin.cpp
+++ b/bench/standin.cpp
@@ -18,6 +18,9 @@
 /// After it has said that it drains, an upstream may see starts for this long.
 constexpr Milliseconds drainAllowance {2'000};
 constexpr Milliseconds pollInterval {5};
+constexpr Milliseconds announcePoll {20};
+/// Running work looks this often whether it was told to stop.
+constexpr Milliseconds workStep {50};
 constexpr Milliseconds announceLimit {1'500};
 
 std::string freshIncarnation()
@@ -178,6 +181,19 @@
     restarted.announceSoon = true;
 }
 
+std::string describe(const Judgement &judgement)
+{
+    std::uint32_t mostStarts = 0;
+    for (const std::pair<const std::string, std::uint32_t> &known : judgement.startsByKey) {
+        mostStarts = std::max(mostStarts, known.second);
+    }
+    const boost::json::object body {{"starts", judgement.starts},
+        {"over_slots", judgement.overSlots}, {"overlaps", judgement.overlaps},
+        {"starts_after_drain", judgement.startsAfterDrain}, {"most_at_once", judgement.mostAtOnce},
+        {"most_starts_for_a_key", mostStarts}};
+    return boost::json::serialize(body);
+}
+
 Judgement StandIn::judge() const
 {
     const std::lock_guard<std::mutex> lock {mutex_};
@@ -337,7 +353,7 @@
     while (fault != Fault::FailEverything && (monotonicNow() < end || fault == Fault::Hang)) {
         const std::chrono::microseconds left =
             std::chrono::duration_cast<std::chrono::microseconds>(end - monotonicNow());
-        const std::chrono::microseconds step {pollInterval * 4};
+        const std::chrono::microseconds step {workStep};
         co_await sleepFor(fault == Fault::Hang ? step : std::min(left, step));
         const std::lock_guard<std::mutex> lock {mutex_};
         const bool leaseLost = exclusive && monotonicNow() >= upstream.leases[attempt];
@@ -478,7 +494,7 @@
             due = monotonicNow() + options_.interval;
             co_await announceOnce(upstream);
         }
-        co_await sleepFor(pollInterval);
+        co_await sleepFor(announcePoll);
     }
 }
 
--- a/bench/standin.h
+++ b/bench/standin.h
@@ -61,6 +61,9 @@
     std::set<std::string> startedAttempts;
 };
 
+/// The judgement's counts as JSON.
+[[nodiscard]] std::string describe(const Judgement &judgement);
+
 class StandIn
 {
 public:
--- a/bench/standin_main.cpp
+++ b/bench/standin_main.cpp
@@ -60,6 +60,7 @@
     crocusmill::asio::signal_set signals {context, SIGTERM, SIGINT};
     signals.async_wait([](const boost::system::error_code &, int) {});
     context.run();
+    std::cout << crocusmill::standin::describe(standIn.judge()) << std::endl;
     standIn.stop();
     return 0;
 }
--- a/src/admission/fairqueue.cpp
+++ b/src/admission/fairqueue.cpp
@@ -18,12 +18,12 @@
 struct Shares
 {
     double quickReserve; // kept free of long work even when no quick request is there
-    double quickHeadroom; // times the slots that quick arrivals keep busy
+    double quickSpread; // standard deviations of their number that are kept on top
     double refuseAt; // share of the deadline that a quick request may be expected to wait
 };
 
-constexpr Shares packingShares {0.15, 1.5, 0.9};
-constexpr Shares crestShares {0.30, 2.0, 0.6};
+constexpr Shares packingShares {0.15, 2.0, 0.9};
+constexpr Shares crestShares {0.30, 3.0, 0.6};
 
 /// Requests of one class, in flows by team, each served in proportion to its weight.
 class ClassQueue
@@ -247,7 +247,8 @@
     std::uint32_t longWorkCap(const ServiceLoad &load, MonotonicTime now) const
     {
         const double busyQuick = load.history[indexOf(WorkClass::Quick)].busySlots(now);
-        const double needed = busyQuick * shares_.quickHeadroom;
+        // Arrivals are close to Poisson, so the number of busy slots spreads by its square root.
+        const double needed = busyQuick + shares_.quickSpread * std::sqrt(busyQuick);
         const double floor = load.slots * shares_.quickReserve;
         const double most = load.slots / 2.0; // quick work never starves the rest
         const double kept = std::min(std::max(needed, floor), std::max(most, floor));
--- /dev/null
+++ b/test/remedies/check.py
@@ -0,0 +1,109 @@
+#!/usr/bin/env python3
+"""Shows that the proofs bite: takes one remedy out at a time and expects its test to fail.
+
+Works on a copy of the sources in FOLDER (default: a new temporary one); not part of CI, as each
+remedy costs a build. Usage: test/remedies/check.py [FOLDER] [NAME ...]
+"""
+
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+REMEDIES = [
+    ("slots of a dead entry stay counted", "src/slots/slotledger.cpp",
+     "held->second.expired = true;", "known.second.holders.erase(held);",
+     "slots"),
+    ("an expired grant is not revived", "src/slots/slotpool.cpp",
+     "        known.second.limit = 0;\n", "", "slots"),
+    ("a new leader waits out the longest grant", "src/slots/slotledger.cpp",
+     "graceEnds_(now + times.grantLife + times.driftMargin)", "graceEnds_(now)", "slots"),
+    ("a draining upstream's grants are withdrawn", "src/slots/slotledger.cpp",
+     "if (!upstream.alive || upstream.announced.draining) {", "if (!upstream.alive) {",
+     "live_an_upstream_that_leaves"),
+    ("an exclusive attempt is over only after its lease", "src/state/leasebook.cpp",
+     "return now >= graceEnds_ && (found == leasedUntil_.end() || now >= found->second);",
+     "return found == found || now >= graceEnds_;", "leases"),
+    ("absence proves nothing", "src/state/leasebook.cpp",
+     "        verdict.stop.push_back(attempt.id);\n    }\n}",
+     "        verdict.commands.emplace_back(\n"
+     "            EndAttempt {work.id, attempt.id, AttemptEnd::NotRun});\n    }\n}", "leases"),
+    ("an answer belongs to its attempt", "src/net/forwarder.cpp",
+     "if (response[std::string {headers::attempt}] != attempt.value()) {", "if (attempt.value().empty()) {",
+     "live_a_caller_gets_the_whole"),
+    ("an answer that ended short is not whole", "src/net/forwarder.cpp",
+     "if (error || !delimited) {", "if (!delimited) {", "live_a_caller_gets_the_whole"),
+    ("a key joins the work it belongs to", "src/state/workledger.cpp",
+     "if (known != nullptr && !mayTryAgain) {", "if (known != nullptr && mayTryAgain) {",
+     "live_a_clerk"),
+    ("admitted work is not yet not run", "src/state/workledger.cpp",
+     "if (state == WorkState::Revoked && everyAttemptNotRun(*this)) {",
+     "if (everyAttemptNotRun(*this)) {", "statemachine"),
+    ("promotion compares versions", "src/state/statemachine.cpp",
+     "if (inForce.version > command.version) {", "if (inForce.version.value() > ~0ULL - 1) {",
+     "statemachine"),
+    ("equal versions conflict", "src/state/statemachine.cpp",
+     "reply.error = reply.repeated ? StateError::None : StateError::VersionConflict;",
+     "environment.production->digest = command.digest;", "live_operators_who_race"),
+    ("a shutdown waits for work in progress", "src/daemon/daemon.cpp",
+     "if (left == 0 || late) {", "if (left < 1'000'000 || late) {", "live_a_graceful"),
+    ("an entry without quorum refuses", "src/admission/admission.cpp",
+     "if (!slots_.valid(now)) {", "if (!slots_.valid(now) && now == MonotonicTime {}) {",
+     "admission"),
+    ("damage is found", "src/storage/recordfile.cpp",
+     "if (crc32c(payload) != header.payloadSum) {", "if (payload.size() != header.length) {",
+     "live_a_damaged"),
+    ("a replica that hears its leader does not depose it", "src/consensus/consensus.cpp",
+     "    if (hearsLeader()) {", "    if (hearsLeader() && now_ == MonotonicTime {}) {",
+     "consensus"),
+    ("a lost disk has no vote under its old identity", "src/storage/filestorage.cpp",
+     "openFileStorage(const fs::path &folder, ReplicaId freshIdentity)\n{",
+     "openFileStorage(const fs::path &folder, ReplicaId freshIdentity)\n{\n"
+     "    freshIdentity = ReplicaId {std::hash<std::string> {}(folder.string()) >> 12U};",
+     "live_a_lost_data_folder"),
+]
+
+
+def run(command, folder):
+    return subprocess.run(command, cwd=folder, stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
+                          text=True, check=False)
+
+
+def check(name, file, remedy, without, test, source, build):
+    path = source / file
+    original = path.read_text()
+    if original.count(remedy) != 1:
+        return f"not run: the remedy is not found once in {file}"
+    path.write_text(original.replace(remedy, without))
+    try:
+        built = run(["ninja", "-C", str(build), "-j", "3"], source)
+        if built.returncode != 0:
+            return "not run: does not build without it"
+        tested = run(["ctest", "--test-dir", str(build), "-R", f"^{test}", "--timeout", "120"],
+                     source)
+        return "fails without it" if tested.returncode != 0 else "PASSES WITHOUT IT"
+    finally:
+        path.write_text(original)
+
+
+def main():
+    root = pathlib.Path(__file__).resolve().parents[2]
+    folder = pathlib.Path(sys.argv[1] if len(sys.argv) > 1 else tempfile.mkdtemp())
+    wanted = sys.argv[2:]
+    source, build = folder / "source", folder / "build"
+    source.mkdir(parents=True, exist_ok=True)
+    run(["sh", "-c", f"git ls-files --cached --others --exclude-standard"
+         f" | tar -cf - -T - | tar -xf - -C {source}"], root)
+    run(["support/build.sh", str(build)], source)
+    missed = 0
+    for name, file, remedy, without, test in REMEDIES:
+        if wanted and name not in wanted:
+            continue
+        verdict = check(name, file, remedy, without, test, source, build)
+        missed += 0 if verdict == "fails without it" else 1
+        print(f"{name}: {test}: {verdict}", flush=True)
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
