The cell on live workers: cancelled and preempted tasks leave before others come

Cause: the cell had only tests of its placement. And a preempted task's room was given away when the record of its end was applied, before the worker had stopped it.

Ruled out: placement itself (its differential test holds), lost orders (an order is repeated only until its task is listed).

The change: cancelled and preempted tasks are told to stop, and their end is recorded once their worker no longer lists them. Announcements are taken in report by report, in short functions.

--- a/src/services/cell.cpp
+++ b/src/services/cell.cpp
@@ -34,6 +34,19 @@
     return wanted;
 }
 
+void addSize(TaskSize &sum, const TaskSize &size)
+{
+    sum.milliCores += size.milliCores;
+    sum.memory = ByteCount {sum.memory.value() + size.memory.value()};
+    sum.accelerators += size.accelerators;
+}
+
+bool covers(const TaskSize &room, const TaskSize &size)
+{
+    return room.milliCores >= size.milliCores && room.memory.value() >= size.memory.value()
+        && room.accelerators >= size.accelerators;
+}
+
 } // namespace
 
 Cell::Cell(const TimeSettings &times, const StateMachine &state, Propose propose, MonotonicTime now)
@@ -116,44 +129,74 @@
     std::set<TaskKey> reported;
     for (const TaskReport &report : announcement.tasks) {
         reported.insert({report.job, report.task});
-        const auto found = state_.jobs().find(report.job);
-        const bool current = found != state_.jobs().end()
-            && report.task < found->second.tasks.size()
-            && found->second.tasks[report.task].state == TaskState::Placed
-            && found->second.tasks[report.task].attempt == report.attempt
-            && found->second.tasks[report.task].worker == announcement.id;
-        if (!current || found->second.cancelled) {
-            TaskOrder stop;
-            stop.job = report.job;
-            stop.task = report.task;
-            stop.attempt = report.attempt;
-            reply.stop.push_back(stop);
-            if (current && report.state != TaskReportState::Running) {
-                endTask(report.job, report.task, report.attempt, TaskEnd::Failed);
-            }
-        } else if (report.state == TaskReportState::Running) {
-            reply.renew.push_back(orderFor(found->second, report.task));
-        } else if (!ending_.contains({report.job, report.task})) {
+        takeReport(record, report, reply);
+    }
+    takeAbsent(announcement, reported, reply);
+    return reply;
+}
+
+bool Cell::mayRun(const WorkerId &worker, const TaskReport &report) const
+{
+    const auto found = state_.jobs().find(report.job);
+    if (found == state_.jobs().end() || report.task >= found->second.tasks.size()) {
+        return false;
+    }
+    const TaskRecord &task = found->second.tasks[report.task];
+    return task.state == TaskState::Placed && task.attempt == report.attempt
+        && task.worker == worker;
+}
+
+void Cell::takeReport(WorkerRecord &record, const TaskReport &report, WorkerReply &reply)
+{
+    const TaskKey key {report.job, report.task};
+    const bool current = mayRun(record.announcement.id, report);
+    if (current && report.state != TaskReportState::Running) {
+        if (!ending_.contains(key)) {
             judge(record, report.state);
-            const bool succeeded = report.state == TaskReportState::Succeeded;
-            endTask(report.job, report.task, report.attempt,
-                succeeded ? TaskEnd::Succeeded : TaskEnd::Failed);
         }
+        const bool succeeded = report.state == TaskReportState::Succeeded;
+        endTask(report.job, report.task, report.attempt,
+            succeeded ? TaskEnd::Succeeded : TaskEnd::Failed);
+        return;
     }
+    const bool stops =
+        !current || preempted_.contains(key) || state_.jobs().at(report.job).cancelled;
+    if (stops) {
+        TaskOrder stop;
+        stop.job = report.job;
+        stop.task = report.task;
+        stop.attempt = report.attempt;
+        reply.stop.push_back(stop);
+        return;
+    }
+    reply.renew.push_back(orderFor(state_.jobs().at(report.job), report.task));
+}
+
+void Cell::takeAbsent(
+    const WorkerAnnouncement &announcement, const std::set<TaskKey> &reported, WorkerReply &reply)
+{
+    std::vector<std::pair<TaskKey, TaskEnd>> stopped;
     for (const std::pair<const TaskKey, Reservation> &known : reservations_) {
-        if (known.second.worker != announcement.id || reported.contains(known.first)) {
-            continue;
-        }
         const auto job = state_.jobs().find(known.first.first);
-        if (job == state_.jobs().end()) {
+        if (known.second.worker != announcement.id || reported.contains(known.first)
+            || job == state_.jobs().end()) {
             continue;
         }
         const TaskRecord &task = job->second.tasks[known.first.second];
-        if (task.state == TaskState::Placed && task.incarnation == announcement.incarnation) {
+        if (task.state != TaskState::Placed || task.incarnation != announcement.incarnation) {
+            continue;
+        }
+        if (job->second.cancelled || preempted_.contains(known.first)) {
+            const bool cancelled = job->second.cancelled;
+            stopped.emplace_back(known.first, cancelled ? TaskEnd::Lost : TaskEnd::Preempted);
+        } else {
             reply.start.push_back(orderFor(job->second, known.first.second));
         }
     }
-    return reply;
+    for (const std::pair<TaskKey, TaskEnd> &task : stopped) {
+        endTask(
+            task.first.first, task.first.second, reservations_.at(task.first).attempt, task.second);
+    }
 }
 
 void Cell::endTask(const JobId &job, std::uint32_t task, std::uint32_t attempt, TaskEnd end)
@@ -180,6 +223,7 @@
     const Reservation &held = found->second;
     placement_.release(held.worker, key.first, held.jobClass, held.size);
     reservations_.erase(found);
+    preempted_.erase(key);
 }
 
 void Cell::loseWorker(const WorkerId &worker)
@@ -231,7 +275,7 @@
     }
     const PlacementResult result = placement_.place(wanted, placementsPerRecord);
     if (result.chosen.empty()) {
-        if (job.spec.urgent && result.obstacle == PlacementObstacle::NoRoom) {
+        if (job.spec.urgent && result.obstacle == PlacementObstacle::NoRoom && preempted_.empty()) {
             preemptFor(job);
         }
         return;
@@ -262,49 +306,45 @@
     });
 }
 
-bool Cell::preemptFor(const Job &urgent)
+bool Cell::isPreemptible(const TaskKey &key, const Reservation &held) const
+{
+    const auto job = state_.jobs().find(key.first);
+    return job != state_.jobs().end() && !job->second.spec.urgent
+        && held.jobClass == JobClass::Batch && !ending_.contains(key) && !preempted_.contains(key);
+}
+
+std::map<WorkerId, TaskSize> Cell::preemptible() const
 {
-    // The worker where the least has to stop, among tasks that are neither urgent nor services.
-    std::map<WorkerId, TaskSize> freeable;
+    std::map<WorkerId, TaskSize> rooms;
     for (const std::pair<const TaskKey, Reservation> &known : reservations_) {
-        const auto job = state_.jobs().find(known.first.first);
-        const bool victim = job != state_.jobs().end() && !job->second.spec.urgent
-            && known.second.jobClass == JobClass::Batch && !ending_.contains(known.first);
-        if (!victim) {
-            continue;
+        if (isPreemptible(known.first, known.second)) {
+            addSize(rooms[known.second.worker], known.second.size);
         }
-        TaskSize &room = freeable[known.second.worker];
-        room.milliCores += known.second.size.milliCores;
-        room.memory = ByteCount {room.memory.value() + known.second.size.memory.value()};
     }
-    for (const std::pair<const WorkerId, TaskSize> &worker : freeable) {
+    return rooms;
+}
+
+void Cell::preemptFor(const Job &urgent)
+{
+    const TaskSize &needed = urgent.spec.size;
+    for (const std::pair<const WorkerId, TaskSize> &worker : preemptible()) {
         TaskSize room = placement_.freeOn(worker.first);
-        const TaskSize &needed = urgent.spec.size;
-        const bool enough = room.milliCores + worker.second.milliCores >= needed.milliCores
-            && room.memory.value() + worker.second.memory.value() >= needed.memory.value();
-        if (!enough) {
+        TaskSize most = room;
+        addSize(most, worker.second);
+        if (!covers(most, needed)) {
             continue;
         }
-        std::vector<TaskKey> victims;
         for (const std::pair<const TaskKey, Reservation> &known : reservations_) {
-            const bool here = known.second.worker == worker.first
-                && known.second.jobClass == JobClass::Batch && !ending_.contains(known.first);
-            const bool covered = room.milliCores >= needed.milliCores
-                && room.memory.value() >= needed.memory.value();
-            const auto job = state_.jobs().find(known.first.first);
-            if (!here || covered || job == state_.jobs().end() || job->second.spec.urgent) {
-                continue;
+            if (covers(room, needed)) {
+                break;
+            }
+            if (known.second.worker == worker.first && isPreemptible(known.first, known.second)) {
+                preempted_.insert(known.first);
+                addSize(room, known.second.size);
             }
-            victims.push_back(known.first);
-            room.milliCores += known.second.size.milliCores;
-            room.memory = ByteCount {room.memory.value() + known.second.size.memory.value()};
-        }
-        for (const TaskKey &key : victims) {
-            endTask(key.first, key.second, reservations_.at(key).attempt, TaskEnd::Preempted);
         }
-        return true;
+        return;
     }
-    return false;
 }
 
 PlacementObstacle Cell::feasible(const SubmitJob &job) const
--- a/src/services/cell.h
+++ b/src/services/cell.h
@@ -55,8 +55,16 @@
     void loseWorker(const WorkerId &worker);
     void placeJob(const JobId &id, const Job &job);
     void propose(const JobId &id, const Job &job, const PlacementResult &result);
-    /// Frees room for urgent work by stopping tasks that are not urgent. True when some stopped.
-    bool preemptFor(const Job &urgent);
+    /// Frees room for urgent work by stopping tasks that are not urgent; what they hold is free
+    /// once their worker no longer lists them.
+    void preemptFor(const Job &urgent);
+    [[nodiscard]] std::map<WorkerId, TaskSize> preemptible() const;
+    [[nodiscard]] bool isPreemptible(const TaskKey &key, const Reservation &held) const;
+    [[nodiscard]] bool mayRun(const WorkerId &worker, const TaskReport &report) const;
+    void takeReport(WorkerRecord &record, const TaskReport &report, WorkerReply &reply);
+    /// Tasks that the worker holds room for and does not list: not started yet, or stopped.
+    void takeAbsent(const WorkerAnnouncement &announcement, const std::set<TaskKey> &reported,
+        WorkerReply &reply);
     [[nodiscard]] TaskOrder orderFor(const Job &job, std::uint32_t task) const;
     void judge(WorkerRecord &record, TaskReportState state);
 
@@ -71,6 +79,8 @@
     // Tasks whose end is proposed and not applied yet, and jobs whose placement is.
     std::set<TaskKey> ending_;
     std::set<JobId> placing_;
+    // Tasks that were told to make room and are still listed by their worker.
+    std::set<TaskKey> preempted_;
     std::set<WorkerId> draining_;
 };
 
--- /dev/null
+++ b/test/fakes/worker.h
@@ -0,0 +1,109 @@
+/// A worker that announces itself and runs what it is told, on command.
+
+#pragma once
+
+#include "test/live/cluster.h"
+
+#include <boost/json.hpp>
+
+#include <map>
+#include <string>
+#include <tuple>
+
+namespace crocusmill::fakes
+{
+
+class Worker
+{
+public:
+    using Key = std::tuple<std::string, std::int64_t, std::int64_t>; // job, task, attempt
+
+    Worker(const live::Cluster &cluster, std::string id, int cores)
+        : cluster_(cluster)
+        , id_(std::move(id))
+        , cores_(cores)
+    {
+    }
+
+    /// Announces once through an entry; takes in what the reply says. False without a reply.
+    bool announce(std::uint32_t vm)
+    {
+        const live::HttpReply reply = cluster_.call(vm, "PUT", "/v1/workers/" + id_, statement());
+        if (reply.status != 200) {
+            return false;
+        }
+        const boost::json::value json = boost::json::parse(reply.body);
+        for (const boost::json::value &order : json.at("start").as_array()) {
+            const Key key = keyOf(order);
+            if (!tasks.contains(key)) {
+                tasks[key] = "running";
+                milliCores_[key] = order.at("size").at("millicores").as_int64();
+                overCapacity += reserved() > 1000LL * cores_ ? 1 : 0;
+                ++started[std::get<0>(key) + "/" + std::to_string(std::get<1>(key))];
+            }
+        }
+        for (const boost::json::value &order : json.at("stop").as_array()) {
+            tasks.erase(keyOf(order));
+        }
+        return true;
+    }
+
+    void finishAll(const std::string &state)
+    {
+        for (std::pair<const Key, std::string> &known : tasks) {
+            known.second = state;
+        }
+    }
+
+    std::size_t running() const
+    {
+        std::size_t count = 0;
+        for (const std::pair<const Key, std::string> &known : tasks) {
+            count += known.second == "running" ? 1 : 0;
+        }
+        return count;
+    }
+
+    std::map<Key, std::string> tasks;
+    /// Starts beyond what this worker holds.
+    int overCapacity = 0;
+    std::map<std::string, int> started;
+
+private:
+    static Key keyOf(const boost::json::value &order)
+    {
+        return {std::string {order.at("job").as_string()}, order.at("task").as_int64(),
+            order.at("attempt").as_int64()};
+    }
+
+    std::int64_t reserved() const
+    {
+        std::int64_t total = 0;
+        for (const std::pair<const Key, std::string> &known : tasks) {
+            total += known.second == "running" ? milliCores_.at(known.first) : 0;
+        }
+        return total;
+    }
+
+    std::string statement() const
+    {
+        boost::json::array reports;
+        for (const std::pair<const Key, std::string> &known : tasks) {
+            reports.push_back(boost::json::object {{"job", std::get<0>(known.first)},
+                {"task", std::get<1>(known.first)}, {"attempt", std::get<2>(known.first)},
+                {"state", known.second}});
+        }
+        const boost::json::object body {{"availability_zone", "zone-" + id_}, {"rack", "rack"},
+            {"incarnation", "one"},
+            {"capacity", boost::json::object {{"cores", cores_}, {"memory_bytes", 1'000'000'000}}},
+            {"tasks", std::move(reports)}};
+        return boost::json::serialize(body);
+    }
+
+    const live::Cluster &cluster_;
+    std::string id_;
+    int cores_;
+    std::map<Key, std::int64_t> milliCores_;
+};
+
+} // namespace crocusmill::fakes
