--- a/include/crocusmill/consensus.h
+++ b/include/crocusmill/consensus.h
@@ -5,7 +5,8 @@
 /// differential tests and in programs that embed it. Not thread-safe; owned by one thread.
 ///
 /// The host calls takeReady() after each input and then, in this order: stores and syncs what it
-/// says, calls persisted(), sends the messages, applies the committed entries.
+/// says, calls persisted(), sends the messages, applies the committed entries. It may take inputs
+/// in while it stores, but not the next Ready.
 
 #pragma once
 
@@ -212,8 +213,9 @@
     [[nodiscard]] Result<LogIndex> removeMember(ReplicaId id);
 
     [[nodiscard]] Ready takeReady();
-    /// Everything up to `index` that takeReady() told the host to append is synced.
-    void persisted(LogIndex index);
+    /// Everything up to `index`, which had this term, is synced. Entries that were replaced while
+    /// the host was storing them do not count.
+    void persisted(LogIndex index, Term term);
 
     /// Drops the log up to `snapshot`'s index; it was taken from applied entries.
     void compact(SnapshotPtr snapshot);
--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -283,9 +283,11 @@
     return ready;
 }
 
-void Consensus::persisted(LogIndex index)
+void Consensus::persisted(LogIndex index, Term term)
 {
-    persisted_ = std::max(persisted_, std::min(index, lastIndex()));
+    if (termAt(index) == term) {
+        persisted_ = std::max(persisted_, index);
+    }
     if (role_ == ReplicaRole::Leader) {
         advanceCommit();
     }
--- a/src/services/journalservice.cpp
+++ b/src/services/journalservice.cpp
@@ -5,6 +5,8 @@
 #include "src/net/log.h"
 #include "src/net/peerstream.h"
 
+#include <boost/asio/thread_pool.hpp>
+
 #include <map>
 #include <random>
 
@@ -76,6 +78,7 @@
     {
         tick_.cancel();
         formation_.cancel();
+        storageThread_.join();
         failProposals(PeerError::Stopping);
     }
 
@@ -143,7 +146,7 @@
     /// The first entry of the log, the same on every founding member, states the membership.
     bool form(const Membership &membership) override
     {
-        if (!consensus_ || membership.find(consensus_->self()) == nullptr) {
+        if (!consensus_ || storing_ || membership.find(consensus_->self()) == nullptr) {
             return false;
         }
         if (formed() || consensus_->lastIndex() != LogIndex {}) {
@@ -225,50 +228,77 @@
         });
     }
 
+    /// One Ready at a time: it is stored on the storage thread, so that a slow disk holds up
+    /// neither beats nor dispatching, and what arrives meanwhile is stored together after it.
     void step()
     {
-        if (failed_) {
+        if (failed_ || storing_) {
             return;
         }
-        for (Ready ready = consensus_->takeReady(); !ready.empty();
-             ready = consensus_->takeReady()) {
-            if (!store(ready)) {
-                return;
-            }
-            for (const Message &message : ready.send) {
-                sendTo(message);
-            }
-            for (const LogEntry &entry : ready.apply) {
-                apply(entry);
-            }
+        const std::shared_ptr<Ready> ready = std::make_shared<Ready>(consensus_->takeReady());
+        if (ready->hard) {
+            hard_ = *ready->hard;
         }
-        dropStaleProposals();
-        maybeSnapshot();
+        if (ready->install) {
+            snapshot_ = ready->install;
+        }
+        if (!ready->mustSync()) {
+            finishStep(*ready);
+            return;
+        }
+        storing_ = true;
+        store(
+            [storage = storage_.get(), ready, hard = hard_]() {
+                return ready->install ? storage->saveSnapshot(*ready->install, hard, ready->append)
+                                      : storage->append(ready->hard, ready->append);
+            },
+            [this, ready]() { stored(*ready); });
+    }
+
+    /// Runs `work` on the storage thread and, when it succeeded, `done` on the control thread.
+    void store(std::function<Result<void>()> work, std::function<void()> done)
+    {
+        asio::post(storageThread_, [this, work = std::move(work), done = std::move(done)]() {
+            const Result<void> outcome = work();
+            asio::post(control_, [this, outcome, done]() {
+                storing_ = false;
+                if (!outcome) {
+                    fail(outcome.error());
+                    return;
+                }
+                done();
+            });
+        });
     }
 
-    bool store(const Ready &ready)
+    void stored(const Ready &ready)
     {
-        if (ready.hard) {
-            hard_ = *ready.hard;
-        }
-        Result<void> stored = success();
         if (ready.install) {
-            snapshot_ = ready.install;
-            stored = storage_->saveSnapshot(*ready.install, hard_, ready.append);
-            if (stored) {
-                stored = state_.restore(ready.install->data);
+            const Result<void> restored = state_.restore(ready.install->data);
+            if (!restored) {
+                fail(restored.error());
+                return;
             }
-        } else if (ready.mustSync()) {
-            stored = storage_->append(ready.hard, ready.append);
-        }
-        if (!stored) {
-            fail(stored.error());
-            return false;
         }
         if (!ready.append.empty()) {
-            consensus_->persisted(ready.append.back().index);
+            consensus_->persisted(ready.append.back().index, ready.append.back().term);
+        }
+        finishStep(ready);
+        step();
+    }
+
+    void finishStep(const Ready &ready)
+    {
+        for (const Message &message : ready.send) {
+            sendTo(message);
+        }
+        for (const LogEntry &entry : ready.apply) {
+            apply(entry);
+        }
+        dropStaleProposals();
+        if (!storing_) {
+            maybeSnapshot();
         }
-        return true;
     }
 
     void fail(const std::error_code &error)
@@ -343,14 +373,18 @@
             index, consensus_->termAt(index), consensus_->membershipAt(index), state_.snapshot()});
         consensus_->compact(snapshot);
         snapshot_ = snapshot;
-        const Result<void> saved =
-            storage_->saveSnapshot(*snapshot, hard_, consensus_->entriesAfterSnapshot());
-        if (!saved) {
-            fail(saved.error());
-            return;
-        }
-        logInfo("journal.snapshot",
-            {{"index", index.value()}, {"bytes", std::uint64_t {snapshot->data.size()}}});
+        storing_ = true;
+        store(
+            [storage = storage_.get(), snapshot, hard = hard_,
+                after = consensus_->entriesAfterSnapshot()]() {
+                return storage->saveSnapshot(*snapshot, hard, after);
+            },
+            [this, snapshot]() {
+                logInfo("journal.snapshot",
+                    {{"index", snapshot->index.value()},
+                        {"bytes", std::uint64_t {snapshot->data.size()}}});
+                step();
+            });
     }
 
     void scheduleTick()
@@ -509,6 +543,9 @@
     bool failed_ = false;
     bool wasLeader_ = false;
     bool stepScheduled_ = false;
+    // Invariant: at most one piece of work is on the storage thread.
+    bool storing_ = false;
+    asio::thread_pool storageThread_ {1};
     // Invariant: every handler is called once.
     std::map<LogIndex, Proposal> proposals_;
     std::map<VmId, Member> spares_;
--- a/test/fakes/network.h
+++ b/test/fakes/network.h
@@ -223,7 +223,7 @@
         }
         disk.append(ready.append);
         if (!ready.append.empty()) {
-            replica.persisted(ready.append.back().index);
+            replica.persisted(ready.append.back().index, ready.append.back().term);
         }
     }
 
