--- a/include/crocusmill/admission.h
+++ b/include/crocusmill/admission.h
@@ -198,12 +198,17 @@
     [[nodiscard]] std::size_t running() const;
 
 private:
+    struct Candidate
+    {
+        UpstreamId id;
+        SlotHandle slots;
+    };
     struct Service
     {
         Policy policy;
         std::unique_ptr<QueuePolicy> queue;
         ServiceLoad load;
-        std::vector<UpstreamId> upstreams;
+        std::vector<Candidate> upstreams;
         RetryBudget retries;
     };
     struct Running
--- a/include/crocusmill/consensus.h
+++ b/include/crocusmill/consensus.h
@@ -228,8 +228,6 @@
     [[nodiscard]] bool isLeader() const;
     /// True when a learner has every entry that was committed.
     [[nodiscard]] bool caughtUp(ReplicaId id) const;
-    /// When a member last answered this leader; nothing when it never did.
-    [[nodiscard]] std::optional<MonotonicTime> lastHeard(ReplicaId id) const;
 
     [[nodiscard]] ReplicaId self() const;
     [[nodiscard]] Term term() const;
--- a/include/crocusmill/slots.h
+++ b/include/crocusmill/slots.h
@@ -145,10 +145,19 @@
     static std::string_view text(SlotError error);
 };
 
+/// Place of an upstream in a pool; it stays the same for the pool's life.
+using SlotHandle = StrongValue<struct SlotHandleTag, std::uint32_t>;
+
 /// An entry's slots.
 class SlotPool
 {
 public:
+    /// The upstream's place; made when it has none yet.
+    [[nodiscard]] SlotHandle handleOf(const UpstreamId &upstream);
+    [[nodiscard]] std::uint32_t free(SlotHandle upstream) const;
+    /// What the entry holds there: what it may use, or what it still uses if that is more.
+    [[nodiscard]] std::uint32_t held(SlotHandle upstream) const;
+
     /// Takes over a grant that was asked for at `asked` and is good for `life` from then on. Once
     /// a grant has run out, what it allowed is gone: a later one counts from nothing.
     void granted(const std::vector<SlotLine> &lines, MonotonicTime asked, Milliseconds life,
@@ -160,11 +169,8 @@
     [[nodiscard]] Result<void> acquire(const UpstreamId &upstream, MonotonicTime now);
     void release(const UpstreamId &upstream);
 
-    [[nodiscard]] std::uint32_t free(const UpstreamId &upstream) const;
     [[nodiscard]] std::uint32_t limit(const UpstreamId &upstream) const;
-    [[nodiscard]] std::uint32_t inUse(const UpstreamId &upstream) const;
     [[nodiscard]] bool valid(MonotonicTime now) const;
-    [[nodiscard]] MonotonicTime validUntil() const;
 
     /// What is held: every upstream when `full`, else those that changed since acknowledged().
     [[nodiscard]] std::vector<SlotLine> report(bool full, MonotonicTime now);
@@ -180,8 +186,11 @@
 
     void dropExpired(MonotonicTime now);
 
+    [[nodiscard]] const Slots *find(const UpstreamId &upstream) const;
+
+    std::map<UpstreamId, SlotHandle> handles_;
     // Invariant: acquire() never lets inUse pass limit; a lowered limit leaves inUse to fall.
-    std::map<UpstreamId, Slots> slots_;
+    std::vector<Slots> slots_; // by handle
     std::map<UpstreamId, std::uint32_t> acknowledged_;
     MonotonicTime validUntil_ {};
 };
--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -67,7 +67,7 @@
         removeUpstream(upstream);
     }
     upstreamService_[upstream] = key;
-    serviceOf(key).upstreams.push_back(upstream);
+    serviceOf(key).upstreams.push_back({upstream, slots_.handleOf(upstream)});
 }
 
 void Admission::removeUpstream(const UpstreamId &upstream)
@@ -76,7 +76,8 @@
     if (known == upstreamService_.end()) {
         return;
     }
-    std::erase(serviceOf(known->second).upstreams, upstream);
+    std::erase_if(serviceOf(known->second).upstreams,
+        [&upstream](const Candidate &candidate) { return candidate.id == upstream; });
     upstreamService_.erase(known);
 }
 
@@ -99,9 +100,9 @@
 std::optional<UpstreamId> Admission::chooseRandom(const Service &service)
 {
     std::vector<UpstreamId> open;
-    for (const UpstreamId &upstream : service.upstreams) {
-        if (slots_.free(upstream) > 0) {
-            open.push_back(upstream);
+    for (const Candidate &candidate : service.upstreams) {
+        if (slots_.free(candidate.slots) > 0) {
+            open.push_back(candidate.id);
         }
     }
     if (open.empty()) {
@@ -121,8 +122,9 @@
     // out more than the others can carry.
     const UpstreamId *best = nullptr;
     std::uint32_t bestScore = 0;
-    for (const UpstreamId &upstream : service.upstreams) {
-        const std::uint32_t free = slots_.free(upstream);
+    for (const Candidate &candidate : service.upstreams) {
+        const UpstreamId &upstream = candidate.id;
+        const std::uint32_t free = slots_.free(candidate.slots);
         if (free == 0) {
             continue;
         }
@@ -159,9 +161,9 @@
 {
     service.load.slots = 0;
     std::uint32_t free = 0;
-    for (const UpstreamId &upstream : service.upstreams) {
-        service.load.slots += std::max(slots_.limit(upstream), slots_.inUse(upstream));
-        free += slots_.free(upstream);
+    for (const Candidate &candidate : service.upstreams) {
+        service.load.slots += slots_.held(candidate.slots);
+        free += slots_.free(candidate.slots);
     }
     for (; free > 0 && service.queue->size() > 0; --free) {
         const std::optional<WaitingRequest> request = service.queue->take(service.load, now);
--- a/src/admission/fairqueue.cpp
+++ b/src/admission/fairqueue.cpp
@@ -69,18 +69,6 @@
         return takeFrom(*best, newestFirst);
     }
 
-    [[nodiscard]] std::optional<MonotonicTime> oldest() const
-    {
-        std::optional<MonotonicTime> oldest;
-        for (const std::pair<const TeamName, Flow> &known : flows_) {
-            if (!known.second.waiting.empty()) {
-                const MonotonicTime arrived = known.second.waiting.front().arrived;
-                oldest = oldest ? std::min(*oldest, arrived) : arrived;
-            }
-        }
-        return oldest;
-    }
-
     /// True when the oldest request has waited for more than half of its time.
     [[nodiscard]] bool overdue(MonotonicTime now) const
     {
--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -252,15 +252,6 @@
     return found != progress_.end() && found->second.match >= commit_;
 }
 
-std::optional<MonotonicTime> Consensus::lastHeard(ReplicaId id) const
-{
-    const auto found = progress_.find(id);
-    if (found == progress_.end() || found->second.lastAck == MonotonicTime {}) {
-        return std::nullopt;
-    }
-    return found->second.lastAck;
-}
-
 Ready Consensus::takeReady()
 {
     if (replicationDue_ && role_ == ReplicaRole::Leader) {
--- /dev/null
+++ b/src/services/askhandler.h
@@ -0,0 +1,39 @@
+/// Later asks about work, and jobs: what callers ask of the journal rather than of an upstream.
+
+#pragma once
+
+#include "src/net/controlloop.h"
+#include "src/net/httpserver.h"
+#include "src/services/interfaces.h"
+
+#include <string_view>
+
+namespace crocusmill
+{
+
+class AskHandler final : public HttpHandler
+{
+public:
+    static constexpr std::string_view workPath = "/.well-known/crocusmill/work/";
+
+    AskHandler(asio::io_context &control, Entry &entry, LeaderClient &client);
+
+    /// Whether the path is one that this handler answers.
+    [[nodiscard]] static bool owns(std::string_view path);
+
+    [[nodiscard]] asio::awaitable<HttpResponse> handle(
+        HttpRequest request, std::shared_ptr<CallerWatch> watch) override;
+
+private:
+    [[nodiscard]] asio::awaitable<Result<Reply>> call(Call wanted);
+    [[nodiscard]] asio::awaitable<HttpResponse> laterAsk(const HttpRequest &request);
+    [[nodiscard]] asio::awaitable<HttpResponse> job(const HttpRequest &request);
+    [[nodiscard]] asio::awaitable<HttpResponse> submitJob(
+        EnvironmentName environment, std::string text);
+
+    asio::io_context &control_;
+    Entry &entry_;
+    LeaderClient &client_;
+};
+
+} // namespace crocusmill
--- a/src/services/entryservice.cpp
+++ b/src/services/entryservice.cpp
@@ -136,7 +136,10 @@
             slots_.close(id); // this entry need not wait for the leader to say so
         }
         const auto known = announced_.find(id);
+        // What the leader knows may have come through another entry since, so that even an
+        // unchanged announcement is passed on from time to time.
         const bool quiet = !call.farewell && known != announced_.end()
+            && monotonicNow() - known->second.passedOn < settings_.times.announceLife / 2
             && isQuietRepeat(known->second.announcement, call.announcement);
         if (quiet) {
             heard_.push_back(known->second.number);
@@ -152,7 +155,8 @@
                 if (accepted == nullptr || call.farewell) {
                     announced_.erase(call.announcement.id);
                 } else {
-                    announced_[call.announcement.id] = {call.announcement, accepted->number};
+                    announced_[call.announcement.id] = {
+                        call.announcement, accepted->number, monotonicNow()};
                 }
                 done(reply);
             });
@@ -206,6 +210,7 @@
     {
         Announcement announcement;
         std::uint32_t number = 0;
+        MonotonicTime passedOn;
     };
 
     void decide()
--- /dev/null
+++ b/src/services/flowanswers.cpp
@@ -0,0 +1,120 @@
+/// What callers are told.
+
+#include "src/services/flowhelpers.h"
+#include "src/services/workflow.h"
+
+#include <algorithm>
+
+namespace crocusmill
+{
+
+std::string_view text(Execution execution)
+{
+    switch (execution) {
+    case Execution::NotRun:
+        return "not_run";
+    case Execution::Unknown:
+        return "unknown";
+    case Execution::Ran:
+        return "ran";
+    }
+    return "unknown";
+}
+
+WallTime wallTimeNow()
+{
+    return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
+}
+
+void Flow::countOutcome(const std::string &outcome)
+{
+    parts_.metrics.count({"requests_total", "outcome=\"" + outcome + "\""});
+}
+
+HttpResponse Flow::answer(HttpResponse response, const WorkId &work)
+{
+    countOutcome("answered");
+    response.erase(headers::attempt);
+    for (const std::string_view name :
+        {"connection", "keep-alive", "transfer-encoding", "trailer", "upgrade"}) {
+        response.erase(name);
+    }
+    identify(response, work);
+    return response;
+}
+
+void Flow::identify(HttpResponse &response, const WorkId &work) const
+{
+    if (!work.value().empty()) {
+        response.set(headers::workId, work.value());
+    }
+    if (request_.key) {
+        response.set(headers::idempotencyKey, request_.key->value());
+    }
+    response.set(headers::traceparent, request_.trace.header(request_.span));
+}
+
+HttpResponse Flow::storedAnswer(const Work &work)
+{
+    HttpResponse response = describeWork(work);
+    identify(response, work.id);
+    countOutcome(work.answer ? "answered" : "ended");
+    return response;
+}
+
+HttpResponse Flow::refused(const Refusal &refusal, Execution execution, const WorkId &work)
+{
+    const bool late = refusal.reason == RefusalReason::DeadlinePassed;
+    HttpResponse response =
+        failed(late ? http::status::gateway_timeout : http::status::service_unavailable, "refused",
+            std::string {text(refusal.reason)}, execution, work);
+    constexpr std::int64_t perSecond = 1000;
+    const std::int64_t seconds =
+        std::max<std::int64_t>((refusal.retryAfter.count() + perSecond - 1) / perSecond, 1);
+    response.set(http::field::retry_after, std::to_string(seconds));
+    return response;
+}
+
+HttpResponse Flow::failed(http::status status, const std::string &type, const std::string &detail,
+    Execution execution, const WorkId &work)
+{
+    countOutcome(type + "_" + std::string {text(execution)});
+    Problem problem;
+    problem.status = status;
+    problem.type = type;
+    problem.title = "The work was not answered";
+    problem.detail = detail;
+    problem.execution = std::string {text(execution)};
+    problem.workId = work.value();
+    HttpResponse response = problemResponse(problem);
+    identify(response, work);
+    return response;
+}
+
+HttpResponse describeWork(const Work &work)
+{
+    if (work.answer && !work.answer->bodyOmitted) {
+        HttpResponse response {static_cast<http::status>(work.answer->status), 11};
+        for (const Header &header : work.answer->headers) {
+            response.insert(header.name, header.value);
+        }
+        response.erase(headers::attempt);
+        response.body() = work.answer->body;
+        response.set(headers::workId, work.id.value());
+        return response;
+    }
+    Problem problem;
+    problem.status = work.answer ? http::status::bad_gateway : http::status::service_unavailable;
+    problem.type = work.answer ? "answer-not-kept" : "ended-without-answer";
+    problem.title = "The work has ended without an answer to give";
+    problem.detail = work.answer
+        ? "the upstream finished it with status " + std::to_string(work.answer->status)
+        : "no attempt answered";
+    problem.execution = std::string {text(work.execution())};
+    problem.workId = work.id.value();
+    HttpResponse response = problemResponse(problem);
+    response.set(headers::workId, work.id.value());
+    return response;
+}
+
+} // namespace crocusmill
--- a/src/services/ingress.cpp
+++ b/src/services/ingress.cpp
@@ -4,6 +4,7 @@
 
 #include "src/net/log.h"
 #include "src/services/announcehandler.h"
+#include "src/services/askhandler.h"
 #include "src/services/workflow.h"
 #include "src/wire/commandjson.h"
 
@@ -16,12 +17,7 @@
 namespace
 {
 
-constexpr std::string_view workPath = "/.well-known/crocusmill/work/";
 constexpr std::string_view readyPath = "/.well-known/crocusmill/ready";
-constexpr std::string_view jobsPath = "/v1/jobs/";
-constexpr std::string_view environmentsPath = "/v1/environments/";
-constexpr std::string_view jobsSuffix = "/jobs";
-constexpr Milliseconds callLimit {2'000};
 
 HttpResponse notFound(const std::string &type, const std::string &title)
 {
@@ -125,6 +121,7 @@
         }
         entry_->onAdopt([this](const Work &work) { adopt(work); });
         announce_ = std::make_unique<AnnounceHandler>(control_, *entry_, *client_, settings_.times);
+        asks_ = std::make_unique<AskHandler>(control_, *entry_, *client_);
         HttpLimits limits;
         limits.connections = settings_.entry.connections;
         limits.headerBytes = settings_.entry.headerBytes;
@@ -168,17 +165,12 @@
         if (target == readyPath) {
             co_return ready();
         }
-        if (target.starts_with(workPath)) {
-            co_return co_await laterAsk(request);
+        if (AskHandler::owns(target)) {
+            co_return co_await asks_->handle(std::move(request), std::move(watch));
         }
         if (!settings_.announce && AnnounceHandler::owns(target)) {
             co_return co_await announce_->handle(std::move(request), std::move(watch));
         }
-        const bool submitsJob =
-            target.starts_with(environmentsPath) && target.ends_with(jobsSuffix);
-        if (submitsJob || target.starts_with(jobsPath)) {
-            co_return co_await job(request);
-        }
         co_return co_await route(request, watch);
     }
 
@@ -292,7 +284,8 @@
         }
         const boost::json::object body {{"work_id", admitted->work.value()}, {"state", "accepted"}};
         HttpResponse response = jsonResponse(http::status::accepted, boost::json::serialize(body));
-        response.set(http::field::location, std::string {workPath} + admitted->work.value());
+        response.set(
+            http::field::location, std::string {AskHandler::workPath} + admitted->work.value());
         flow->identify(response, admitted->work);
         co_return response;
     }
@@ -346,139 +339,6 @@
         logWarning("work.not_adopted", {{"work", work.id.value()}});
     }
 
-    asio::awaitable<Result<Reply>> call(Call wanted)
-    {
-        const std::function<void(std::function<void(Result<Reply>)>)> begin =
-            [this, wanted](std::function<void(Result<Reply>)> done) {
-                client_->call(wanted, callLimit, std::move(done));
-            };
-        co_return co_await askControl<Result<Reply>>(control_, begin);
-    }
-
-    asio::awaitable<HttpResponse> laterAsk(const HttpRequest &request)
-    {
-        const std::string_view target = request.target();
-        const WorkId id {std::string {target.substr(workPath.size())}};
-        if (request.method() == http::verb::delete_) {
-            const RevokeWork revoke {id, true, wallTimeNow()};
-            const Call proposal {ProposeCall {encodeCommand(Command {revoke})}};
-            const Result<Reply> revoked = co_await call(proposal);
-            if (!revoked) {
-                co_return unreachable(revoked.error(), id);
-            }
-        }
-        const Call wanted {WorkCall {id, std::nullopt}};
-        const Result<Reply> reply = co_await call(wanted);
-        const WorkReply *known = reply ? std::get_if<WorkReply>(&reply.value()) : nullptr;
-        if (known == nullptr) {
-            co_return unreachable(
-                reply ? std::error_code {CodecError::UnknownKind} : reply.error(), id);
-        }
-        if (!known->work) {
-            co_return notFound("no-work", "No such work is known, or it was forgotten");
-        }
-        co_return describeState(*known->work);
-    }
-
-    static HttpResponse unreachable(const std::error_code &error, const WorkId &work)
-    {
-        Problem problem;
-        problem.status = http::status::service_unavailable;
-        problem.type = "journal-unreachable";
-        problem.title = "The state of the work cannot be told now";
-        problem.detail = error.message();
-        problem.execution = "unknown";
-        problem.workId = work.value();
-        problem.retryAfter = Milliseconds {1'000};
-        return problemResponse(problem);
-    }
-
-    static HttpResponse describeState(const Work &work)
-    {
-        boost::json::object body;
-        body["work_id"] = work.id.value();
-        body["state"] = boost::json::value_from(work.state);
-        body["execution"] = text(work.execution());
-        body["cancelled"] = work.cancelled;
-        if (work.answer) {
-            body["status"] = work.answer->status;
-            body["body_kept"] = !work.answer->bodyOmitted;
-            body["body"] = work.answer->body;
-        }
-        return jsonResponse(http::status::ok, boost::json::serialize(body));
-    }
-
-    asio::awaitable<HttpResponse> job(const HttpRequest &request)
-    {
-        const std::string_view target = request.target();
-        if (target.starts_with(environmentsPath) && request.method() == http::verb::post) {
-            std::string_view name = target.substr(environmentsPath.size());
-            name.remove_suffix(jobsSuffix.size());
-            const EnvironmentName environment {std::string {name}};
-            co_return co_await submitJob(environment, request.body());
-        }
-        if (!target.starts_with(jobsPath)) {
-            co_return notFound("no-such-path", "No such path");
-        }
-        const JobId id {std::string {target.substr(jobsPath.size())}};
-        if (request.method() == http::verb::delete_) {
-            const Call proposal {ProposeCall {encodeCommand(Command {CancelJob {id}})}};
-            const Result<Reply> cancelled = co_await call(proposal);
-            if (!cancelled) {
-                co_return unreachable(cancelled.error(), {});
-            }
-        }
-        const Call wanted {JobCall {id}};
-        const Result<Reply> reply = co_await call(wanted);
-        const JobReply *known = reply ? std::get_if<JobReply>(&reply.value()) : nullptr;
-        if (known == nullptr) {
-            co_return unreachable(
-                reply ? std::error_code {CodecError::UnknownKind} : reply.error(), {});
-        }
-        if (!known->job) {
-            co_return notFound("no-job", "No such job");
-        }
-        boost::json::object body;
-        body["job"] = id.value();
-        body["cancelled"] = known->job->cancelled;
-        body["waits_for"] = known->waitsFor;
-        body["tasks"] = boost::json::value_from(known->job->tasks);
-        co_return jsonResponse(http::status::ok, boost::json::serialize(body));
-    }
-
-    asio::awaitable<HttpResponse> submitJob(EnvironmentName environment, std::string text)
-    {
-        Checked<SubmitJob> checked = parseJob(text);
-        if (const Faults *faults = std::get_if<Faults>(&checked)) {
-            co_return faultsResponse(*faults);
-        }
-        SubmitJob command = std::move(std::get<SubmitJob>(checked));
-        command.environment = std::move(environment);
-        command.at = wallTimeNow();
-        command.job =
-            JobId {entry_->epoch().value() + "-j" + std::to_string(entry_->nextRequest().value())};
-        const Call proposal {ProposeCall {encodeCommand(Command {command})}};
-        const Result<Reply> reply = co_await call(proposal);
-        const ProposeReply *proposed = reply ? std::get_if<ProposeReply>(&reply.value()) : nullptr;
-        if (proposed == nullptr) {
-            co_return unreachable(
-                reply ? std::error_code {CodecError::UnknownKind} : reply.error(), {});
-        }
-        if (proposed->result.error != StateError::None) {
-            Problem problem;
-            problem.status = http::status::unprocessable_entity;
-            problem.type = "never-fits";
-            problem.title = "The job can never run";
-            problem.detail = "its tasks are larger than the workers can ever hold";
-            problem.execution = "not_run";
-            co_return problemResponse(problem);
-        }
-        const boost::json::object body {{"job", command.job.value()}, {"state", "accepted"}};
-        HttpResponse response = jsonResponse(http::status::accepted, boost::json::serialize(body));
-        response.set(http::field::location, std::string {jobsPath} + command.job.value());
-        co_return response;
-    }
-
     asio::io_context &control_;
     std::vector<asio::io_context *> traffic_;
     Settings settings_;
@@ -489,6 +349,7 @@
     std::unique_ptr<FlowParts> parts_;
     std::map<asio::io_context *, std::unique_ptr<Forwarder>> forwarders_;
     std::unique_ptr<AnnounceHandler> announce_;
+    std::unique_ptr<AskHandler> asks_;
     std::unique_ptr<HttpServer> server_;
     std::unique_ptr<HttpServer> announceServer_;
     std::atomic<std::size_t> detached_ {0};
--- a/src/services/journalservice.cpp
+++ b/src/services/journalservice.cpp
@@ -4,6 +4,8 @@
 
 #include "src/net/log.h"
 #include "src/net/peerstream.h"
+#include "src/services/founding.h"
+#include "src/services/replicarepair.h"
 
 #include <boost/asio/thread_pool.hpp>
 
@@ -17,9 +19,7 @@
 {
 
 constexpr Milliseconds tickInterval {10};
-constexpr Milliseconds formInterval {300};
 constexpr Milliseconds proposeLimit {5'000};
-constexpr Milliseconds helloLimit {1'000};
 
 MonotonicTime monotonicNow()
 {
@@ -35,7 +35,7 @@
         , settings_(settings)
         , storage_(std::move(storage))
         , tick_(control)
-        , formation_(control)
+        , repair_(settings.peers.voters)
     {
     }
 
@@ -60,7 +60,6 @@
             BOOST_OUTCOME_TRY(state_.restore(stored.snapshot->data));
         }
         hard_ = stored.hard;
-        snapshot_ = stored.snapshot;
         std::random_device random;
         const std::uint64_t seed = (std::uint64_t {random()} << 32U) ^ random();
         consensus_ = std::make_unique<Consensus>(storage_->identity(), settings_.times.consensus,
@@ -70,14 +69,17 @@
                 {"last_index", consensus_->lastIndex().value()}, {"formed", formed()}});
         peers_->onMessage([this](const Message &message) { receive(message); });
         scheduleTick();
-        scheduleFormation();
+        founding_ = std::make_unique<Founding>(control_, settings_, *peers_, *this);
+        founding_->begin();
         return success();
     }
 
     void stop() override
     {
         tick_.cancel();
-        formation_.cancel();
+        if (founding_) {
+            founding_->stop();
+        }
         storageThread_.join();
         failProposals(PeerError::Stopping);
     }
@@ -93,6 +95,13 @@
             done(index.error());
             return;
         }
+        // A proposal of an earlier term at this place was replaced by another leader's entry.
+        const auto replaced = proposals_.find(index.value());
+        if (replaced != proposals_.end()) {
+            const ProposeHandler lost = std::move(replaced->second.done);
+            proposals_.erase(replaced);
+            lost(ConsensusError::NotLeader);
+        }
         proposals_.emplace(index.value(),
             Proposal {consensus_->term(), monotonicNow() + proposeLimit, std::move(done)});
         scheduleStep();
@@ -163,7 +172,6 @@
         stored.hard = hard;
         stored.snapshot = std::make_shared<const Snapshot>(founding);
         hard_ = hard;
-        snapshot_ = stored.snapshot;
         consensus_ = std::make_unique<Consensus>(storage_->identity(), settings_.times.consensus,
             std::move(stored), storage_->identity().value(), monotonicNow());
         logInfo("journal.formed", {{"members", std::uint64_t {membership.members.size()}}});
@@ -172,18 +180,8 @@
 
     void offerReplica(const VmId &vm, ReplicaId replica, const NodeAddress &address) override
     {
-        if (!leads() || replica == ReplicaId {}) {
-            return;
-        }
-        const Membership &membership = consensus_->membership();
-        if (membership.find(replica) != nullptr) {
-            return;
-        }
-        for (const VoterSettings &voter : settings_.peers.voters) {
-            if (voter.vm == vm) {
-                spares_[vm] = Member {replica, vm, address, MemberRole::Learner};
-                return;
-            }
+        if (leads()) {
+            repair_.offer({replica, vm, address, MemberRole::Learner}, consensus_->membership());
         }
     }
 
@@ -239,9 +237,6 @@
         if (ready->hard) {
             hard_ = *ready->hard;
         }
-        if (ready->install) {
-            snapshot_ = ready->install;
-        }
         if (!ready->mustSync()) {
             finishStep(*ready);
             return;
@@ -316,10 +311,10 @@
             peers_->deliver(member->address, message);
             return;
         }
-        // The leader of a term this replica has no membership for yet.
-        const auto known = senders_.find(message.to);
-        if (known != senders_.end()) {
-            peers_->deliver(known->second, message);
+        // A member that this replica has no membership for yet.
+        const std::optional<NodeAddress> known = founding_->addressOf(message.to);
+        if (known) {
+            peers_->deliver(*known, message);
         }
     }
 
@@ -372,7 +367,6 @@
         const SnapshotPtr snapshot = std::make_shared<const Snapshot>(Snapshot {
             index, consensus_->termAt(index), consensus_->membershipAt(index), state_.snapshot()});
         consensus_->compact(snapshot);
-        snapshot_ = snapshot;
         storing_ = true;
         store(
             [storage = storage_.get(), snapshot, hard = hard_,
@@ -412,123 +406,12 @@
             {{"term", consensus_->term().value()}});
     }
 
-    /// Brings a VM whose disk was lost back in: learner first, then out with its old identity,
-    /// then a vote for the new one. Each step is one membership change.
     void repair()
     {
         if (!leads()) {
-            spares_.clear();
-            return;
-        }
-        for (const std::pair<const VmId, Member> &spare : spares_) {
-            if (repairStep(spare.second)) {
-                scheduleStep();
-                return;
-            }
-        }
-    }
-
-    bool repairStep(const Member &spare)
-    {
-        const Membership &membership = consensus_->membership();
-        const Member *learner = membership.find(spare.id);
-        if (learner == nullptr) {
-            return logChange("journal.learner_added", spare, consensus_->addLearner(spare));
-        }
-        if (learner->role == MemberRole::Voter || !consensus_->caughtUp(spare.id)) {
-            return false;
-        }
-        for (const Member &member : membership.members) {
-            if (member.vm == spare.vm && member.id != spare.id) {
-                return logChange(
-                    "journal.lost_replica_removed", member, consensus_->removeMember(member.id));
-            }
-        }
-        return logChange("journal.voter_added", spare, consensus_->promoteLearner(spare.id));
-    }
-
-    static bool logChange(
-        std::string_view event, const Member &member, const Result<LogIndex> &changed)
-    {
-        if (changed) {
-            logInfo(event, {{"member", member.vm.value()}, {"replica", member.id.value()}});
-        }
-        return changed.has_value();
-    }
-
-    /// While no cell is formed: joins one that exists, or founds one once every voter that the
-    /// settings name is there and none of them has stored anything.
-    void scheduleFormation()
-    {
-        formation_.expires_after(formInterval);
-        formation_.async_wait([this](const boost::system::error_code &error) {
-            if (error || formed()) {
-                return;
-            }
-            askFounders();
-            scheduleFormation();
-        });
-    }
-
-    void askFounders()
-    {
-        founders_.clear();
-        for (const VoterSettings &voter : settings_.peers.voters) {
-            if (voter.vm == settings_.vm) {
-                founded(voter, hello());
-                continue;
-            }
-            peers_->call(voter.address, HelloCall {settings_.vm}, helloLimit,
-                [this, voter](const Result<Reply> &reply) {
-                    if (!reply) {
-                        return;
-                    }
-                    const HelloReply *hello = std::get_if<HelloReply>(&reply.value());
-                    if (hello != nullptr) {
-                        founded(voter, *hello);
-                    }
-                });
-        }
-    }
-
-    void founded(const VoterSettings &voter, const HelloReply &hello)
-    {
-        if (hello.formed) {
-            // This replica only has to stay reachable: the leader sends what it lacks.
-            rememberMembers(hello.membership);
-            return;
-        }
-        if (hello.vm != voter.vm || hello.replica == ReplicaId {}) {
-            return;
-        }
-        founders_[voter.vm] = Member {hello.replica, voter.vm, voter.address, MemberRole::Voter};
-        const bool first = settings_.peers.voters.front().vm == settings_.vm;
-        if (first && founders_.size() == settings_.peers.voters.size() && !formed()) {
-            found();
-        }
-    }
-
-    void rememberMembers(const Membership &membership)
-    {
-        for (const Member &member : membership.members) {
-            senders_[member.id] = member.address;
-        }
-    }
-
-    void found()
-    {
-        Membership membership;
-        for (const std::pair<const VmId, Member> &founder : founders_) {
-            membership.members.push_back(founder.second);
-        }
-        if (!form(membership)) {
-            return;
-        }
-        for (const Member &member : membership.members) {
-            if (member.vm != settings_.vm) {
-                peers_->call(member.address, FormCall {membership}, helloLimit,
-                    [](const Result<Reply> & /*reply*/) {});
-            }
+            repair_.forget();
+        } else if (repair_.step(*consensus_)) {
+            scheduleStep();
         }
     }
 
@@ -539,7 +422,6 @@
     StateMachine state_;
     Peers *peers_ = nullptr;
     HardState hard_;
-    SnapshotPtr snapshot_;
     bool failed_ = false;
     bool wasLeader_ = false;
     bool stepScheduled_ = false;
@@ -548,11 +430,9 @@
     asio::thread_pool storageThread_ {1};
     // Invariant: every handler is called once.
     std::map<LogIndex, Proposal> proposals_;
-    std::map<VmId, Member> spares_;
-    std::map<VmId, Member> founders_;
-    std::map<ReplicaId, NodeAddress> senders_;
     asio::steady_timer tick_;
-    asio::steady_timer formation_;
+    ReplicaRepair repair_;
+    std::unique_ptr<Founding> founding_;
 };
 
 } // namespace
--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -4,13 +4,8 @@
 
 #include "src/net/log.h"
 #include "src/net/peerstream.h"
-#include "src/services/cell.h"
-#include "src/services/directory.h"
-
-#include <crocusmill/leases.h>
-#include <crocusmill/slots.h>
-
-#include <boost/json.hpp>
+#include "src/services/leadership.h"
+#include "src/services/reports.h"
 
 #include <algorithm>
 
@@ -33,42 +28,6 @@
     return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
 }
 
-/// One entry process that beats.
-struct EntryRecord
-{
-    BeatCall last;
-    MonotonicTime heard;
-};
-
-/// All that a leader knows beside the journal; made anew for each term that this VM leads.
-struct Leadership
-{
-    Leadership(Term led, const TimeSettings &times, const StateMachine &state,
-        Cell::Propose propose, MonotonicTime now)
-        : term(led)
-        , directory(led)
-        , ledger(times.slots, now)
-        , leases({times.exclusiveLease, times.slots.driftMargin}, now)
-        , cell(times, state, std::move(propose), now)
-        , graceEnds(now + times.slots.grantLife + times.slots.driftMargin)
-    {
-    }
-
-    Term term;
-    Directory directory;
-    SlotLedger ledger;
-    LeaseBook leases;
-    Cell cell;
-    MonotonicTime graceEnds;
-    MonotonicTime forgetDue {};
-    std::map<EntryEpoch, EntryRecord> entries;
-    /// When an entry first asked whether an attempt has left its upstream.
-    std::map<AttemptId, MonotonicTime> lingering;
-    std::map<UpstreamId, MonotonicTime> announcedAt;
-    std::map<EntryEpoch, std::vector<WorkId>> adoptions;
-    std::set<WorkId> recovering;
-};
-
 class LeaderService final : public Service, public Leader
 {
 public:
@@ -164,7 +123,7 @@
         reply.grants = lead_->ledger.grant(call.epoch, now);
         reply.grantLife = settings_.times.slots.grantLife;
         reply.configuration = journal_->state().configurationIndex();
-        reply.environments = environmentsSince(call.configuration);
+        reply.environments = environmentsSince(journal_->state(), call.configuration);
         reply.directory = lead_->directory.version();
         reply.upstreams = lead_->directory.changedSince(call.directory);
         reply.departed = departed(call.lingering, now);
@@ -175,28 +134,6 @@
         done(Reply {reply});
     }
 
-    std::vector<EnvironmentInForce> environmentsSince(LogIndex index) const
-    {
-        std::vector<EnvironmentInForce> changed;
-        for (const std::pair<const EnvironmentName, EnvironmentState> &known :
-            journal_->state().environments()) {
-            const EnvironmentState &environment = known.second;
-            if (environment.production && environment.production->since > index) {
-                changed.push_back(inForce(known.first, Stage::Production, *environment.production));
-            }
-            if (!environment.tried.empty() && environment.tried.back().since > index) {
-                changed.push_back(inForce(known.first, Stage::Trial, environment.tried.back()));
-            }
-        }
-        return changed;
-    }
-
-    static EnvironmentInForce inForce(
-        const EnvironmentName &name, Stage stage, const TriedDocument &document)
-    {
-        return {name, stage, document.version, document.digest, document.document};
-    }
-
     /// Attempts that an announcement made after the question does not list as running any more.
     std::vector<AttemptId> departed(
         const std::vector<LingeringAttempt> &lingering, MonotonicTime now)
@@ -340,22 +277,22 @@
         OperatorReply reply;
         switch (call.action) {
         case OperatorAction::ListVms:
-            reply.body = describeVms();
+            reply.body = describeVms(lead_->entries, *journal_, settings_.peers.advertise);
             break;
         case OperatorAction::ListMembers:
-            reply.body = describeMembers();
+            reply.body = describeMembers(*journal_->consensus());
             break;
         case OperatorAction::ListUpstreams:
-            reply.body = describeUpstreams();
+            reply.body = describeUpstreams(lead_->directory, lead_->ledger, drained_);
             break;
         case OperatorAction::ListWorkers:
             reply.body = lead_->cell.describeWorkers();
             break;
         case OperatorAction::ListJobs:
-            reply.body = describeJobs();
+            reply.body = describeJobs(journal_->state());
             break;
         case OperatorAction::ListEnvironments:
-            reply.body = describeEnvironments();
+            reply.body = describeEnvironments(journal_->state());
             break;
         case OperatorAction::DrainUpstream:
             reply.found = lead_->directory.find(UpstreamId {call.subject}) != nullptr;
@@ -381,114 +318,6 @@
     {
     }
 
-    std::string describeVms() const
-    {
-        boost::json::array list;
-        const MonotonicTime now = monotonicNow();
-        for (const std::pair<const EntryEpoch, EntryRecord> &known : lead_->entries) {
-            const BeatCall &beat = known.second.last;
-            const Milliseconds age =
-                std::chrono::duration_cast<Milliseconds>(now - known.second.heard);
-            std::uint64_t slots = 0;
-            for (const SlotLine &line : beat.held) {
-                slots += line.slots.value();
-            }
-            list.push_back(boost::json::object {{"vm", beat.vm.value()},
-                {"availability_zone", beat.zone.value()},
-                {"leader", beat.address == settings_.peers.advertise}, {"draining", beat.draining},
-                {"configuration", beat.configuration.value()}, {"heard_ms_ago", age.count()},
-                {"address", beat.address.ip + ":" + std::to_string(beat.address.port)}});
-        }
-        boost::json::object root;
-        root["vms"] = std::move(list);
-        root["configuration"] = journal_->state().configurationIndex().value();
-        root["term"] = lead_->term.value();
-        root["committed"] = journal_->consensus()->commitIndex().value();
-        return boost::json::serialize(root);
-    }
-
-    std::string describeMembers() const
-    {
-        boost::json::array list;
-        const Consensus &consensus = *journal_->consensus();
-        for (const Member &member : consensus.membership().members) {
-            list.push_back(boost::json::object {{"vm", member.vm.value()},
-                {"replica", std::to_string(member.id.value())},
-                {"role", member.role == MemberRole::Voter ? "voter" : "learner"},
-                {"leader", member.id == consensus.self()},
-                {"address", member.address.ip + ":" + std::to_string(member.address.port)}});
-        }
-        return boost::json::serialize(list);
-    }
-
-    std::string describeUpstreams() const
-    {
-        boost::json::array list;
-        for (const std::pair<const UpstreamId, Directory::Record> &known :
-            lead_->directory.records()) {
-            const Announcement &announcement = known.second.announcement;
-            const bool draining =
-                announcement.mode == UpstreamMode::Draining || drained_.contains(known.first);
-            list.push_back(boost::json::object {{"id", known.first.value()},
-                {"environment", announcement.environment.value()},
-                {"service", announcement.service.value()},
-                {"state",
-                    known.second.gone ? "gone"
-                        : draining    ? "draining"
-                                      : "serving"},
-                {"slots", announcement.slots.value()},
-                {"granted", lead_->ledger.occupied(known.first).value()},
-                {"running", announcement.running.size()},
-                {"availability_zone", announcement.zone.value()}});
-        }
-        return boost::json::serialize(list);
-    }
-
-    std::string describeJobs() const
-    {
-        boost::json::array list;
-        for (const std::pair<const JobId, Job> &known : journal_->state().jobs()) {
-            const Job &job = known.second;
-            std::map<TaskState, std::size_t> counts;
-            for (const TaskRecord &task : job.tasks) {
-                ++counts[task.state];
-            }
-            list.push_back(boost::json::object {{"id", known.first.value()},
-                {"environment", job.spec.environment.value()}, {"team", job.spec.team.value()},
-                {"cancelled", job.cancelled}, {"waiting", counts[TaskState::Waiting]},
-                {"placed", counts[TaskState::Placed]}, {"done", counts[TaskState::Done]},
-                {"given_up", counts[TaskState::GivenUp]}});
-        }
-        return boost::json::serialize(list);
-    }
-
-    static boost::json::object describeDocument(const TriedDocument &document)
-    {
-        return {{"version", document.version.value()}, {"digest", document.digest.value()},
-            {"by", document.by.value()}, {"since", document.since.value()},
-            {"document", document.document}};
-    }
-
-    std::string describeEnvironments() const
-    {
-        boost::json::array list;
-        for (const std::pair<const EnvironmentName, EnvironmentState> &known :
-            journal_->state().environments()) {
-            boost::json::object environment;
-            environment["name"] = known.first.value();
-            if (known.second.production) {
-                environment["production"] = describeDocument(*known.second.production);
-            }
-            boost::json::array tried;
-            for (const TriedDocument &document : known.second.tried) {
-                tried.push_back(describeDocument(document));
-            }
-            environment["tried"] = std::move(tried);
-            list.push_back(std::move(environment));
-        }
-        return boost::json::serialize(list);
-    }
-
     void scheduleSweep()
     {
         sweepTimer_.expires_after(sweepInterval);
--- /dev/null
+++ b/src/services/leadership.h
@@ -0,0 +1,49 @@
+/// All that a leader knows beside the journal.
+
+#pragma once
+
+#include "src/services/cell.h"
+#include "src/services/directory.h"
+#include "src/services/reports.h"
+
+#include <crocusmill/leases.h>
+#include <crocusmill/settings.h>
+#include <crocusmill/slots.h>
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace crocusmill
+{
+
+/// Made anew for each term that this VM leads.
+struct Leadership
+{
+    Leadership(Term led, const TimeSettings &times, const StateMachine &state,
+        Cell::Propose propose, MonotonicTime now)
+        : term(led)
+        , directory(led)
+        , ledger(times.slots, now)
+        , leases({times.exclusiveLease, times.slots.driftMargin}, now)
+        , cell(times, state, std::move(propose), now)
+        , graceEnds(now + times.slots.grantLife + times.slots.driftMargin)
+    {
+    }
+
+    Term term;
+    Directory directory;
+    SlotLedger ledger;
+    LeaseBook leases;
+    Cell cell;
+    MonotonicTime graceEnds;
+    MonotonicTime forgetDue {};
+    EntryRecords entries;
+    /// When an entry first asked whether an attempt has left its upstream.
+    std::map<AttemptId, MonotonicTime> lingering;
+    std::map<UpstreamId, MonotonicTime> announcedAt;
+    std::map<EntryEpoch, std::vector<WorkId>> adoptions;
+    std::set<WorkId> recovering;
+};
+
+} // namespace crocusmill
--- a/src/services/operators.cpp
+++ b/src/services/operators.cpp
@@ -16,7 +16,6 @@
 {
 
 constexpr Milliseconds callLimit {3'000};
-constexpr std::size_t leastTokenBytes = 16;
 
 HttpResponse problem(http::status status, const std::string &type, const std::string &detail)
 {
@@ -117,14 +116,13 @@
 
     std::vector<std::string_view> needs() const override
     {
-        return {names::entry, names::client, names::journal};
+        return {names::entry, names::client};
     }
 
     Result<void> start(Kernel &kernel) override
     {
         entry_ = kernel.find<Entry>(names::entry);
         client_ = kernel.find<LeaderClient>(names::client);
-        journal_ = kernel.find<Journal>(names::journal);
         server_ = std::make_unique<HttpServer>(traffic_, HttpLimits {}, *this);
         return server_->listen(settings_.operators.listen);
     }
@@ -347,7 +345,6 @@
     std::function<void()> drain_;
     Entry *entry_ = nullptr;
     LeaderClient *client_ = nullptr;
-    Journal *journal_ = nullptr;
     std::unique_ptr<HttpServer> server_;
 };
 
--- /dev/null
+++ b/src/services/peerlink.h
@@ -0,0 +1,144 @@
+/// RPC connections between two VMs: the server's side, and the link that is made anew after each
+/// failure. Only for the control thread.
+
+#pragma once
+
+#include "proto/peer.capnp.h"
+#include "src/net/peerstream.h"
+#include "src/services/interfaces.h"
+
+#include <capnp/rpc-twoparty.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace crocusmill
+{
+
+struct Handlers
+{
+    std::function<void(const Message &)> message;
+    std::function<void(const Call &, ReplyHandler)> call;
+};
+
+[[nodiscard]] capnp::ReaderOptions peerReaderOptions();
+/// The calls that this VM answers.
+[[nodiscard]] capnp::Capability::Client makePeerServer(std::shared_ptr<Handlers> handlers);
+
+/// A call that failed has told its handler so already.
+class IgnoreErrors final : public kj::TaskSet::ErrorHandler
+{
+public:
+    void taskFailed(kj::Exception && /*exception*/) override
+    {
+    }
+};
+
+/// RPC on one connection, either way.
+class Connection
+{
+public:
+    Connection(std::shared_ptr<TlsSocket> socket, capnp::Capability::Client bootstrap)
+        : network_(*(stream_ = makePeerStream(std::move(socket))),
+            capnp::rpc::twoparty::Side::SERVER, peerReaderOptions())
+        , system_(capnp::makeRpcServer(network_, kj::mv(bootstrap)))
+    {
+    }
+
+    explicit Connection(std::shared_ptr<TlsSocket> socket)
+        : network_(*(stream_ = makePeerStream(std::move(socket))),
+            capnp::rpc::twoparty::Side::CLIENT, peerReaderOptions())
+        , system_(capnp::makeRpcClient(network_))
+    {
+    }
+
+    [[nodiscard]] kj::Promise<void> whenClosed()
+    {
+        return network_.onDisconnect();
+    }
+
+    [[nodiscard]] rpc::Peer::Client peer()
+    {
+        capnp::MallocMessageBuilder message;
+        capnp::rpc::twoparty::VatId::Builder vat = message.initRoot<capnp::rpc::twoparty::VatId>();
+        vat.setSide(capnp::rpc::twoparty::Side::SERVER);
+        return system_.bootstrap(vat).castAs<rpc::Peer>();
+    }
+
+private:
+    kj::Own<kj::AsyncIoStream> stream_;
+    capnp::TwoPartyVatNetwork network_;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> system_;
+};
+
+/// Pause after a first failed connection; it doubles up to a second.
+inline constexpr Milliseconds firstBackoff {50};
+
+/// The connection to one peer, made anew after each failure.
+class Link : public std::enable_shared_from_this<Link>
+{
+public:
+    Link(asio::io_context &context, PeerKey &key, NodeAddress address, std::string localIp);
+    void open();
+    void close();
+    void deliver(const Message &message);
+    void call(const Call &call, Milliseconds timeout, ReplyHandler done);
+
+private:
+    struct WaitingCall
+    {
+        Call call;
+        MonotonicTime until;
+        ReplyHandler done;
+    };
+
+    /// Calls the handler once, with what comes first: the reply, a failure or the timeout.
+    struct OneReply
+    {
+        OneReply(asio::io_context &context, ReplyHandler handler)
+            : timer(context)
+            , done(std::move(handler))
+        {
+        }
+
+        void finish(Result<Reply> reply)
+        {
+            timer.cancel();
+            if (done) {
+                const ReplyHandler handler = std::exchange(done, nullptr);
+                handler(std::move(reply));
+            }
+        }
+
+        asio::steady_timer timer;
+        ReplyHandler done;
+    };
+
+    void send(const Call &call, Milliseconds timeout, ReplyHandler done);
+    std::uint64_t sent();
+    void answered(std::uint64_t generation);
+    void dropWhenSilent();
+    void drop();
+    asio::awaitable<void> connect();
+    void connected(const std::shared_ptr<TlsSocket> &socket);
+    void connectFailed(bool refused);
+    asio::io_context &context_;
+    PeerKey &key_;
+    NodeAddress address_;
+    std::string localIp_;
+    asio::steady_timer timer_;
+    bool opening_ = false;
+    bool closed_ = false;
+    Milliseconds backoff_ {firstBackoff};
+    std::vector<WaitingCall> waiting_;
+    std::unique_ptr<Connection> connection_;
+    kj::Own<rpc::Peer::Client> peer_;
+    std::uint64_t generation_ = 0; // of the connection; answers to an earlier one do not count
+    std::size_t unanswered_ = 0;
+    MonotonicTime silentSince_ {};
+    IgnoreErrors ignoreErrors_;
+    kj::TaskSet tasks_;
+};
+
+} // namespace crocusmill
--- a/src/services/workflow.h
+++ b/src/services/workflow.h
@@ -112,7 +112,6 @@
     Forwarder &forwarder_;
     FlowRequest request_;
     ServiceKey service_;
-    bool retried_ = false;
 };
 
 [[nodiscard]] std::string_view text(Execution execution);
--- a/src/slots/slotpool.cpp
+++ b/src/slots/slotpool.cpp
@@ -20,13 +20,29 @@
     return "unknown slot error";
 }
 
+SlotHandle SlotPool::handleOf(const UpstreamId &upstream)
+{
+    const SlotHandle fresh {static_cast<std::uint32_t>(slots_.size())};
+    const auto [known, isNew] = handles_.try_emplace(upstream, fresh);
+    if (isNew) {
+        slots_.emplace_back();
+    }
+    return known->second;
+}
+
+const SlotPool::Slots *SlotPool::find(const UpstreamId &upstream) const
+{
+    const auto found = handles_.find(upstream);
+    return found == handles_.end() ? nullptr : &slots_[found->second.value()];
+}
+
 void SlotPool::dropExpired(MonotonicTime now)
 {
     if (valid(now)) {
         return;
     }
-    for (std::pair<const UpstreamId, Slots> &known : slots_) {
-        known.second.limit = 0;
+    for (Slots &slots : slots_) {
+        slots.limit = 0;
     }
 }
 
@@ -35,17 +51,14 @@
 {
     dropExpired(now);
     for (const SlotLine &line : lines) {
-        slots_[line.upstream].limit = line.slots.value();
+        slots_[handleOf(line.upstream).value()].limit = line.slots.value();
     }
     validUntil_ = std::max(validUntil_, asked + life);
 }
 
 void SlotPool::close(const UpstreamId &upstream)
 {
-    const auto found = slots_.find(upstream);
-    if (found != slots_.end()) {
-        found->second.limit = 0;
-    }
+    slots_[handleOf(upstream).value()].limit = 0;
 }
 
 Result<void> SlotPool::acquire(const UpstreamId &upstream, MonotonicTime now)
@@ -53,44 +66,42 @@
     if (!valid(now)) {
         return SlotError::GrantExpired;
     }
-    const auto found = slots_.find(upstream);
-    if (found == slots_.end()) {
+    const auto found = handles_.find(upstream);
+    if (found == handles_.end()) {
         return SlotError::UnknownUpstream;
     }
-    if (found->second.inUse >= found->second.limit) {
+    Slots &slots = slots_[found->second.value()];
+    if (slots.inUse >= slots.limit) {
         return SlotError::NoneFree;
     }
-    ++found->second.inUse;
+    ++slots.inUse;
     return success();
 }
 
 void SlotPool::release(const UpstreamId &upstream)
 {
-    const auto found = slots_.find(upstream);
-    if (found != slots_.end() && found->second.inUse > 0) {
-        --found->second.inUse;
+    Slots &slots = slots_[handleOf(upstream).value()];
+    if (slots.inUse > 0) {
+        --slots.inUse;
     }
 }
 
-std::uint32_t SlotPool::free(const UpstreamId &upstream) const
+std::uint32_t SlotPool::free(SlotHandle upstream) const
 {
-    const auto found = slots_.find(upstream);
-    if (found == slots_.end() || found->second.inUse >= found->second.limit) {
-        return 0;
-    }
-    return found->second.limit - found->second.inUse;
+    const Slots &slots = slots_[upstream.value()];
+    return slots.inUse >= slots.limit ? 0 : slots.limit - slots.inUse;
 }
 
-std::uint32_t SlotPool::limit(const UpstreamId &upstream) const
+std::uint32_t SlotPool::held(SlotHandle upstream) const
 {
-    const auto found = slots_.find(upstream);
-    return found == slots_.end() ? 0 : found->second.limit;
+    const Slots &slots = slots_[upstream.value()];
+    return std::max(slots.limit, slots.inUse);
 }
 
-std::uint32_t SlotPool::inUse(const UpstreamId &upstream) const
+std::uint32_t SlotPool::limit(const UpstreamId &upstream) const
 {
-    const auto found = slots_.find(upstream);
-    return found == slots_.end() ? 0 : found->second.inUse;
+    const Slots *slots = find(upstream);
+    return slots == nullptr ? 0 : slots->limit;
 }
 
 bool SlotPool::valid(MonotonicTime now) const
@@ -98,21 +109,16 @@
     return now < validUntil_;
 }
 
-MonotonicTime SlotPool::validUntil() const
-{
-    return validUntil_;
-}
-
 std::vector<SlotLine> SlotPool::report(bool full, MonotonicTime now)
 {
     dropExpired(now);
     std::vector<SlotLine> lines;
-    for (const std::pair<const UpstreamId, Slots> &known : slots_) {
-        const std::uint32_t held = std::max(known.second.limit, known.second.inUse);
+    for (const std::pair<const UpstreamId, SlotHandle> &known : handles_) {
+        const std::uint32_t holds = held(known.second);
         const auto before = acknowledged_.find(known.first);
-        const bool changed = before == acknowledged_.end() || before->second != held;
-        if (full ? held > 0 : changed) {
-            lines.push_back({known.first, SlotCount {held}});
+        const bool changed = before == acknowledged_.end() || before->second != holds;
+        if (full ? holds > 0 : changed) {
+            lines.push_back({known.first, SlotCount {holds}});
         }
     }
     return lines;
--- a/src/storage/filestorage.cpp
+++ b/src/storage/filestorage.cpp
@@ -1,17 +1,13 @@
 /// Storage in one folder: `identity`, `snapshot` and one journal file named by its sequence.
 
+#include "src/storage/journalrecords.h"
 #include "src/storage/recordfile.h"
-#include "src/wire/membershipcodec.h"
+#include "src/storage/syncfile.h"
 
 #include <crocusmill/storage.h>
 
 #include <algorithm>
 #include <cstring>
-#include <fcntl.h>
-#include <fstream>
-#include <sstream>
-#include <sys/file.h>
-#include <unistd.h>
 
 namespace crocusmill
 {
@@ -44,279 +40,6 @@
 constexpr const char *snapshotName = "snapshot";
 constexpr const char *lockName = "lock";
 constexpr const char *journalPrefix = "journal-";
-constexpr mode_t fileMode = 0600;
-
-/// A file descriptor that closes itself.
-class File
-{
-public:
-    File() = default;
-    File(const fs::path &path, int flags)
-        : descriptor_(::open(path.c_str(), flags | O_CLOEXEC, fileMode))
-    {
-    }
-    ~File()
-    {
-        close();
-    }
-    File(File &&other) noexcept
-        : descriptor_(std::exchange(other.descriptor_, -1))
-    {
-    }
-    File &operator=(File &&other) noexcept
-    {
-        if (this != &other) {
-            close();
-            descriptor_ = std::exchange(other.descriptor_, -1);
-        }
-        return *this;
-    }
-    File(const File &) = delete;
-    File &operator=(const File &) = delete;
-
-    [[nodiscard]] bool isOpen() const
-    {
-        return descriptor_ >= 0;
-    }
-
-    [[nodiscard]] bool lock() const
-    {
-        return ::flock(descriptor_, LOCK_EX | LOCK_NB) == 0;
-    }
-
-    [[nodiscard]] Result<void> write(std::string_view bytes) const
-    {
-        while (!bytes.empty()) {
-            const ssize_t written = ::write(descriptor_, bytes.data(), bytes.size());
-            if (written < 0) {
-                if (errno == EINTR) {
-                    continue;
-                }
-                return StorageError::CannotWrite;
-            }
-            bytes.remove_prefix(static_cast<std::size_t>(written));
-        }
-        return success();
-    }
-
-    [[nodiscard]] Result<void> sync() const
-    {
-        if (::fdatasync(descriptor_) != 0) {
-            return StorageError::CannotSync;
-        }
-        return success();
-    }
-
-    [[nodiscard]] bool truncate(std::size_t size) const
-    {
-        return ::ftruncate(descriptor_, static_cast<off_t>(size)) == 0;
-    }
-
-private:
-    void close()
-    {
-        if (descriptor_ >= 0) {
-            ::close(descriptor_);
-        }
-    }
-
-    int descriptor_ = -1;
-};
-
-Result<void> syncFolder(const fs::path &folder)
-{
-    const File file {folder, O_RDONLY | O_DIRECTORY};
-    if (!file.isOpen() || !file.sync()) {
-        return StorageError::CannotSync;
-    }
-    return success();
-}
-
-/// Writes aside, syncs, renames and syncs the folder: the old content or the new, never a mix.
-Result<void> replaceFile(const fs::path &path, std::string_view content)
-{
-    const fs::path aside = path.string() + ".new";
-    {
-        const File file {aside, O_WRONLY | O_CREAT | O_TRUNC};
-        if (!file.isOpen()) {
-            return StorageError::CannotWrite;
-        }
-        BOOST_OUTCOME_TRY(file.write(content));
-        BOOST_OUTCOME_TRY(file.sync());
-    }
-    std::error_code error;
-    fs::rename(aside, path, error);
-    if (error) {
-        return StorageError::CannotWrite;
-    }
-    return syncFolder(path.parent_path());
-}
-
-Result<std::string> readFile(const fs::path &path)
-{
-    std::ifstream in {path, std::ios::binary};
-    if (!in) {
-        return StorageError::CannotRead;
-    }
-    std::ostringstream content;
-    content << in.rdbuf();
-    return std::move(content).str();
-}
-
-void putU64(std::string &out, std::uint64_t value)
-{
-    for (int shift = 0; shift < 64; shift += 8) {
-        out.push_back(static_cast<char>((value >> shift) & 0xffU));
-    }
-}
-
-/// Reads the fields of one record in order.
-class FieldReader
-{
-public:
-    explicit FieldReader(std::string_view bytes)
-        : rest_(bytes)
-    {
-    }
-
-    [[nodiscard]] Result<std::uint64_t> u64()
-    {
-        constexpr std::size_t size = sizeof(std::uint64_t);
-        if (rest_.size() < size) {
-            return StorageError::Damaged;
-        }
-        std::uint64_t value = 0;
-        for (std::size_t i = 0; i < size; ++i) {
-            value |= static_cast<std::uint64_t>(static_cast<unsigned char>(rest_[i])) << (8 * i);
-        }
-        rest_.remove_prefix(size);
-        return value;
-    }
-
-    [[nodiscard]] Result<std::uint8_t> u8()
-    {
-        if (rest_.empty()) {
-            return StorageError::Damaged;
-        }
-        const std::uint8_t value = static_cast<std::uint8_t>(rest_.front());
-        rest_.remove_prefix(1);
-        return value;
-    }
-
-    [[nodiscard]] Result<std::string_view> bytes(std::size_t count)
-    {
-        if (rest_.size() < count) {
-            return StorageError::Damaged;
-        }
-        const std::string_view taken = rest_.substr(0, count);
-        rest_.remove_prefix(count);
-        return taken;
-    }
-
-    [[nodiscard]] std::string_view rest() const
-    {
-        return rest_;
-    }
-
-private:
-    std::string_view rest_;
-};
-
-enum class RecordKind : std::uint8_t { Hard = 1, Entry = 2 };
-
-void appendHard(std::string &out, const HardState &hard)
-{
-    std::string payload;
-    payload.push_back(static_cast<char>(RecordKind::Hard));
-    putU64(payload, hard.term.value());
-    putU64(payload, hard.votedFor.value());
-    appendRecord(out, payload);
-}
-
-void appendEntry(std::string &out, const LogEntry &entry)
-{
-    std::string payload;
-    payload.push_back(static_cast<char>(RecordKind::Entry));
-    putU64(payload, entry.index.value());
-    putU64(payload, entry.term.value());
-    payload.push_back(static_cast<char>(entry.kind));
-    payload.append(entry.payload);
-    appendRecord(out, payload);
-}
-
-Result<void> replayEntry(FieldReader reader, StoredState &state)
-{
-    BOOST_OUTCOME_TRY(const std::uint64_t index, reader.u64());
-    BOOST_OUTCOME_TRY(const std::uint64_t term, reader.u64());
-    BOOST_OUTCOME_TRY(const std::uint8_t kind, reader.u8());
-    if (kind > static_cast<std::uint8_t>(EntryKind::Membership)) {
-        return StorageError::Damaged;
-    }
-    const LogIndex base = state.snapshot ? state.snapshot->index : LogIndex {};
-    if (LogIndex {index} <= base) {
-        return success(); // left by a crash between the snapshot and the dropping of the log
-    }
-    std::vector<LogEntry> &entries = state.entries;
-    while (!entries.empty() && entries.back().index >= LogIndex {index}) {
-        entries.pop_back();
-    }
-    const LogIndex last = entries.empty() ? base : entries.back().index;
-    if (LogIndex {index} != next(last)) {
-        return StorageError::Damaged;
-    }
-    entries.push_back(
-        {LogIndex {index}, Term {term}, static_cast<EntryKind>(kind), std::string {reader.rest()}});
-    return success();
-}
-
-Result<void> replayRecord(std::string_view payload, StoredState &state)
-{
-    FieldReader reader {payload};
-    BOOST_OUTCOME_TRY(const std::uint8_t kind, reader.u8());
-    if (kind == static_cast<std::uint8_t>(RecordKind::Entry)) {
-        return replayEntry(reader, state);
-    }
-    if (kind != static_cast<std::uint8_t>(RecordKind::Hard)) {
-        return StorageError::Damaged;
-    }
-    BOOST_OUTCOME_TRY(const std::uint64_t term, reader.u64());
-    BOOST_OUTCOME_TRY(const std::uint64_t votedFor, reader.u64());
-    state.hard = {Term {term}, ReplicaId {votedFor}};
-    return success();
-}
-
-std::string encodeSnapshot(const Snapshot &snapshot)
-{
-    std::string payload;
-    putU64(payload, snapshot.index.value());
-    putU64(payload, snapshot.term.value());
-    const std::string membership = encodeMembership(snapshot.membership);
-    putU64(payload, membership.size());
-    payload.append(membership);
-    payload.append(snapshot.data);
-    std::string framed;
-    appendRecord(framed, payload);
-    return framed;
-}
-
-Result<Snapshot> decodeSnapshot(std::string_view framed)
-{
-    BOOST_OUTCOME_TRY(const ScannedRecords scanned, scanRecords(framed));
-    if (scanned.payloads.size() != 1 || scanned.validBytes != framed.size()) {
-        return StorageError::Damaged;
-    }
-    FieldReader reader {scanned.payloads.front()};
-    BOOST_OUTCOME_TRY(const std::uint64_t index, reader.u64());
-    BOOST_OUTCOME_TRY(const std::uint64_t term, reader.u64());
-    BOOST_OUTCOME_TRY(const std::uint64_t size, reader.u64());
-    BOOST_OUTCOME_TRY(const std::string_view membership, reader.bytes(size));
-    Result<Membership> members = decodeMembership(membership);
-    if (!members) {
-        return StorageError::Damaged;
-    }
-    return Snapshot {
-        LogIndex {index}, Term {term}, std::move(members.value()), std::string {reader.rest()}};
-}
 
 std::optional<std::uint64_t> journalSequence(const fs::path &path)
 {
@@ -468,26 +191,10 @@
     File journal_;
 };
 
-Result<ReplicaId> readIdentity(const fs::path &path)
-{
-    BOOST_OUTCOME_TRY(const std::string framed, readFile(path));
-    BOOST_OUTCOME_TRY(const ScannedRecords scanned, scanRecords(framed));
-    if (scanned.payloads.size() != 1 || scanned.validBytes != framed.size()) {
-        return StorageError::Damaged;
-    }
-    FieldReader reader {scanned.payloads.front()};
-    BOOST_OUTCOME_TRY(const std::uint64_t identity, reader.u64());
-    return ReplicaId {identity};
-}
-
 /// Writes the identity last: a folder without one never served, and whatever else is in it may go.
 Result<void> writeIdentity(const fs::path &path, ReplicaId identity)
 {
-    std::string payload;
-    putU64(payload, identity.value());
-    std::string framed;
-    appendRecord(framed, payload);
-    return replaceFile(path, framed);
+    return replaceFile(path, encodeIdentity(identity));
 }
 
 void removeLeftovers(const fs::path &folder)
@@ -522,7 +229,8 @@
     }
     const fs::path identityPath = folder / identityName;
     if (fs::exists(identityPath)) {
-        BOOST_OUTCOME_TRY(const ReplicaId identity, readIdentity(identityPath));
+        BOOST_OUTCOME_TRY(const std::string framed, readFile(identityPath));
+        BOOST_OUTCOME_TRY(const ReplicaId identity, decodeIdentity(framed));
         return std::make_unique<FileStorage>(folder, std::move(lock), identity);
     }
     removeLeftovers(folder);
--- /dev/null
+++ b/src/storage/syncfile.cpp
@@ -0,0 +1,57 @@
+/// Synced files.
+
+#include "src/storage/syncfile.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace crocusmill
+{
+
+namespace fs = std::filesystem;
+
+namespace
+{
+
+Result<void> syncFolder(const fs::path &folder)
+{
+    const File file {folder, O_RDONLY | O_DIRECTORY};
+    if (!file.isOpen() || !file.sync()) {
+        return StorageError::CannotSync;
+    }
+    return success();
+}
+
+} // namespace
+
+Result<void> replaceFile(const fs::path &path, std::string_view content)
+{
+    const fs::path aside = path.string() + ".new";
+    {
+        const File file {aside, O_WRONLY | O_CREAT | O_TRUNC};
+        if (!file.isOpen()) {
+            return StorageError::CannotWrite;
+        }
+        BOOST_OUTCOME_TRY(file.write(content));
+        BOOST_OUTCOME_TRY(file.sync());
+    }
+    std::error_code error;
+    fs::rename(aside, path, error);
+    if (error) {
+        return StorageError::CannotWrite;
+    }
+    return syncFolder(path.parent_path());
+}
+
+Result<std::string> readFile(const fs::path &path)
+{
+    std::ifstream in {path, std::ios::binary};
+    if (!in) {
+        return StorageError::CannotRead;
+    }
+    std::ostringstream content;
+    content << in.rdbuf();
+    return std::move(content).str();
+}
+
+} // namespace crocusmill
--- a/test/live/cluster.cpp
+++ b/test/live/cluster.cpp
@@ -297,7 +297,7 @@
 HttpReply Cluster::promote(std::uint32_t vm, const std::string &document, std::uint64_t version,
     const std::string &operatorName) const
 {
-    const HttpReply tried = operate(vm, "POST", "/v1/environments/trial", document, operatorName);
+    HttpReply tried = operate(vm, "POST", "/v1/environments/trial", document, operatorName);
     if (tried.status != 200) {
         return tried;
     }
--- a/test/live/faults.cpp
+++ b/test/live/faults.cpp
@@ -202,6 +202,7 @@
         locations.push_back(reply.header("Location"));
     }
     std::vector<bool> claimedNotRun;
+    claimedNotRun.reserve(locations.size());
     for (const std::string &location : locations) {
         const HttpReply reply = desk.cluster.call(2, "DELETE", location);
         claimedNotRun.push_back(reply.execution() == "not_run");
--- a/test/live/relay.cpp
+++ b/test/live/relay.cpp
@@ -35,7 +35,7 @@
     bool held = false; // something was kept back
 };
 
-Relay::Relay(NodeAddress from, NodeAddress to)
+Relay::Relay(const NodeAddress &from, NodeAddress to)
     : to_(std::move(to))
     , acceptor_(context_)
 {
--- a/test/live/relay.h
+++ b/test/live/relay.h
@@ -19,7 +19,7 @@
 {
 public:
     /// Listens on `from` and passes connections on to `to`.
-    Relay(NodeAddress from, NodeAddress to);
+    Relay(const NodeAddress &from, NodeAddress to);
     ~Relay();
     Relay(const Relay &) = delete;
     Relay &operator=(const Relay &) = delete;
