--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -102,7 +102,8 @@
     for (const std::pair<const MetricName, double> &known : gauges_) {
         out << withLabels(known.first) << ' ' << known.second << '\n';
     }
-    for (const auto &known : distributions_) {
+    using Known = std::pair<const MetricName, std::unique_ptr<Distribution>>;
+    for (const Known &known : distributions_) {
         known.second->print(known.first, out);
     }
     return std::move(out).str();
--- a/src/services/ingress.cpp
+++ b/src/services/ingress.cpp
@@ -307,7 +307,8 @@
     void adopt(const Work &work)
     {
         const std::shared_ptr<const RouteTable> table = entry_->routes();
-        for (const auto &known : table->hosts) {
+        using Host = std::pair<const std::string, std::shared_ptr<const RouteTable::Environment>>;
+        for (const Host &known : table->hosts) {
             const RouteTable::Environment &environment = *known.second;
             const bool mine = environment.document.name == work.environment
                 && environment.stage == Stage::Production;
