Tests run where no red list stands

Cause: support/test.sh read KNOWN-RED.txt with sed under pipefail; without the file sed ends with 2, and the script with it, before any test ran. Ruled out: the linter and formatter (both printed clean), ctest itself (it ends with 8 on a failed test, and printed nothing). Change: the list is read only where it stands. Before: exit 2 without a test run, repeated by hand with the same line.

--- a/support/test.sh
+++ b/support/test.sh
@@ -7,7 +7,10 @@
 support/build.sh "$build" >/dev/null
 
 # A line of KNOWN-RED.txt that starts with "test: NAME" names one test of ctest.
-red=$(sed -n 's/^test: *\([^ ]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
+red=""
+if [ -f KNOWN-RED.txt ]; then
+    red=$(sed -n 's/^test: *\([^ ]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|' -)
+fi
 exclude=()
 if [ -n "$red" ]; then
     echo "known red, not part of this verdict:"
