The cell at 6,300 workers; drains outlast leaders; ended jobs are forgotten

Tasks of another incarnation end after their leases. A worker without a record in the placement is entered closed. Jobs end, and are forgotten as ended work is; lost workers leave the lists after ten minutes.

--- a/include/crocusmill/commands.h
+++ b/include/crocusmill/commands.h
@@ -142,13 +142,21 @@
     EntryEpoch owner;
 };
 
-/// Drops the records of work that ended before `before`.
-struct ForgetWork
+/// Drops the records of work and jobs that ended before `before`.
+struct ForgetEnded
 {
-    static constexpr const char *kind = "forget_work";
+    static constexpr const char *kind = "forget_ended";
     WallTime before;
 };
 
+/// An operator's wish that an upstream gets no new work, or gets work again.
+struct DrainUpstream
+{
+    static constexpr const char *kind = "drain_upstream";
+    UpstreamId upstream;
+    bool drained = true;
+};
+
 struct TaskSize
 {
     std::uint32_t milliCores = 0;
@@ -201,12 +209,14 @@
     std::uint32_t task = 0;
     std::uint32_t attempt = 0;
     TaskEnd end = TaskEnd::Succeeded;
+    WallTime at;
 };
 
 struct CancelJob
 {
     static constexpr const char *kind = "cancel_job";
     JobId job;
+    WallTime at;
 };
 
 struct QuarantineWorker
@@ -216,9 +226,17 @@
     bool quarantined = true;
 };
 
+/// An operator's wish that a worker gets no new tasks, or gets tasks again.
+struct DrainWorker
+{
+    static constexpr const char *kind = "drain_worker";
+    WorkerId worker;
+    bool drained = true;
+};
+
 using Command = std::variant<TryEnvironment, PromoteEnvironment, AdmitWork, StartWork, EndAttempt,
-    FinishWork, RevokeWork, AdoptWork, ForgetWork, SubmitJob, PlaceTasks, EndTask, CancelJob,
-    QuarantineWorker>;
+    FinishWork, RevokeWork, AdoptWork, ForgetEnded, SubmitJob, PlaceTasks, EndTask, CancelJob,
+    QuarantineWorker, DrainUpstream, DrainWorker>;
 
 enum class StateError {
     None = 0,
--- a/include/crocusmill/placement.h
+++ b/include/crocusmill/placement.h
@@ -73,7 +73,8 @@
     void setWorker(const PlacementWorker &worker);
     void removeWorker(const WorkerId &worker);
 
-    /// Reserves room for a task; a service's also counts for the spread over zones and racks.
+    /// Reserves room for a task; a service's also counts for the spread over zones and racks. A
+    /// worker that was not heard yet is entered closed, so that its tasks count once it is.
     void reserve(const WorkerId &worker, const JobId &job, JobClass jobClass, TaskSize size);
     void release(const WorkerId &worker, const JobId &job, JobClass jobClass, TaskSize size);
 
@@ -112,6 +113,8 @@
     [[nodiscard]] static TaskSize freeOf(const Worker &worker);
     [[nodiscard]] static bool fits(const Worker &worker, const TaskSize &size);
     void reindex(WorkerIndex index);
+    /// The worker is about to stand in another zone or rack.
+    void relocate(WorkerIndex index, const PlacementWorker &now);
     void add(Worker &worker, const TaskSize &size);
 
     PlacementPolicy policy_;
--- a/include/crocusmill/slots.h
+++ b/include/crocusmill/slots.h
@@ -76,6 +76,8 @@
     SlotLedger(SlotTimes times, MonotonicTime now);
 
     void announced(const UpstreamSlots &upstream, MonotonicTime now);
+    /// An operator's wish, between two announcements of the upstream.
+    void setDraining(const UpstreamId &upstream, bool draining);
     /// The upstream said farewell or was not heard for its time to live.
     void gone(const UpstreamId &upstream);
 
--- a/include/crocusmill/statemachine.h
+++ b/include/crocusmill/statemachine.h
@@ -91,6 +91,12 @@
     SubmitJob spec;
     std::vector<TaskRecord> tasks;
     bool cancelled = false;
+    WallTime endedAt; // meaningful once no task waits or is placed
+    // Derived from tasks: how many are in these states.
+    std::uint32_t waiting = 0;
+    std::uint32_t placed = 0;
+
+    [[nodiscard]] bool hasEnded() const;
 };
 
 class StateMachine
@@ -114,7 +120,11 @@
     [[nodiscard]] const std::set<WorkId> &openWork() const;
     [[nodiscard]] const Work *findAttempt(const AttemptId &attempt) const;
     [[nodiscard]] const std::map<JobId, Job> &jobs() const;
+    /// Jobs that have a task to be placed.
+    [[nodiscard]] const std::set<JobId> &waitingJobs() const;
     [[nodiscard]] const std::set<WorkerId> &quarantined() const;
+    [[nodiscard]] const std::set<UpstreamId> &drainedUpstreams() const;
+    [[nodiscard]] const std::set<WorkerId> &drainedWorkers() const;
     [[nodiscard]] std::uint64_t reservedCores(
         const EnvironmentName &environment, const TeamName &team) const;
 
@@ -131,17 +141,26 @@
     ApplyReply on(const FinishWork &command);
     ApplyReply on(const RevokeWork &command);
     ApplyReply on(const AdoptWork &command);
-    ApplyReply on(const ForgetWork &command);
+    ApplyReply on(const ForgetEnded &command);
     ApplyReply on(const SubmitJob &command);
     ApplyReply on(const PlaceTasks &command);
     ApplyReply on(const EndTask &command);
     ApplyReply on(const CancelJob &command);
     ApplyReply on(const QuarantineWorker &command);
+    ApplyReply on(const DrainUpstream &command);
+    ApplyReply on(const DrainWorker &command);
 
     [[nodiscard]] bool hostTaken(const Document &document) const;
     [[nodiscard]] Work *mutableWork(const WorkId &id);
     void endWork(Work &work, WorkState state, WallTime at);
     void dropKey(const Work &work);
+    void forgetWork(WallTime before);
+    void forgetJobs(WallTime before);
+    /// Moves a task to another state; a job without open tasks ends.
+    void setTask(Job &job, TaskRecord &task, TaskState state);
+    void endJob(Job &job, WallTime at);
+    void rebuildJobs();
+    void rebuildWork();
     void cacheDocument(const EnvironmentState &environment);
     void rebuildIndices();
 
@@ -151,6 +170,8 @@
     std::map<WorkId, Work> work_;
     std::map<JobId, Job> jobs_;
     std::set<WorkerId> quarantined_;
+    std::set<UpstreamId> drainedUpstreams_;
+    std::set<WorkerId> drainedWorkers_;
     // Derived from work_: keys, attempts that are not over, and work that has not ended.
     std::map<std::pair<EnvironmentName, IdempotencyKey>, WorkId> keys_;
     std::map<AttemptId, WorkId> attempts_;
@@ -160,6 +181,9 @@
     std::map<std::pair<EnvironmentName, TeamName>, std::uint64_t> reservedMilliCores_;
     // Invariant: every ended work is here once, in the order of ending.
     std::deque<WorkId> ended_;
+    // Invariant: every job without open tasks is here once, in the order of ending.
+    std::deque<JobId> endedJobs_;
+    std::set<JobId> waitingJobs_; // derived: those with a task that waits
 };
 
 [[nodiscard]] std::string encodeCommand(const Command &command);
--- a/src/cell/placement.cpp
+++ b/src/cell/placement.cpp
@@ -97,14 +97,31 @@
         indices_.try_emplace(worker.id, static_cast<WorkerIndex>(workers_.size()));
     if (isNew) {
         workers_.emplace_back();
-    } else if (workers_[found->second].spec.zone != worker.zone) {
-        zones_[workers_[found->second].spec.zone][workers_[found->second].bucket].erase(
-            found->second);
+    } else {
+        relocate(found->second, worker);
     }
     workers_[found->second].spec = worker;
     reindex(found->second);
 }
 
+void Placement::relocate(WorkerIndex index, const PlacementWorker &now)
+{
+    const Worker &known = workers_[index];
+    if (known.spec.zone == now.zone && known.spec.rack == now.rack) {
+        return;
+    }
+    zones_[known.spec.zone][known.bucket].erase(index);
+    for (std::pair<const JobId, Spread> &spread : spreads_) {
+        const auto count = spread.second.workers.find(now.id);
+        if (count != spread.second.workers.end()) {
+            spread.second.zones[known.spec.zone] -= count->second;
+            spread.second.zones[now.zone] += count->second;
+            spread.second.racks[known.spec.rack] -= count->second;
+            spread.second.racks[now.rack] += count->second;
+        }
+    }
+}
+
 void Placement::removeWorker(const WorkerId &worker)
 {
     const auto found = indices_.find(worker);
@@ -124,13 +141,16 @@
 
 void Placement::reserve(const WorkerId &worker, const JobId &job, JobClass jobClass, TaskSize size)
 {
-    const auto found = indices_.find(worker);
-    if (found == indices_.end()) {
-        return;
+    if (!indices_.contains(worker)) {
+        PlacementWorker unheard;
+        unheard.id = worker;
+        unheard.open = false;
+        setWorker(unheard);
     }
-    Worker &known = workers_[found->second];
+    const WorkerIndex index = indices_.at(worker);
+    Worker &known = workers_[index];
     add(known, size);
-    reindex(found->second);
+    reindex(index);
     if (jobClass == JobClass::Service) {
         Spread &spread = spreads_[job];
         ++spread.zones[known.spec.zone];
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -261,8 +261,10 @@
     {"state", "replace", true, "POST", "/v1/members/", "/replace", ""},
     {"upstream", "list", false, "GET", "/v1/upstreams", "", ""},
     {"upstream", "drain", true, "POST", "/v1/upstreams/", "/drain", ""},
+    {"upstream", "resume", true, "POST", "/v1/upstreams/", "/resume", ""},
     {"worker", "list", false, "GET", "/v1/workers", "", ""},
     {"worker", "drain", true, "POST", "/v1/workers/", "/drain", ""},
+    {"worker", "resume", true, "POST", "/v1/workers/", "/resume", ""},
     {"worker", "quarantine", true, "POST", "/v1/workers/", "/quarantine", "on"},
     {"worker", "release", true, "POST", "/v1/workers/", "/quarantine", "off"},
     {"job", "list", false, "GET", "/v1/jobs", "", ""},
@@ -344,8 +346,8 @@
   environment list | show NAME | diff NAME
   vm list | drain                      drain: the VM asked, as by SIGTERM
   state members | replace VM
-  upstream list | drain ID
-  worker list | drain ID | quarantine ID | release ID
+  upstream list | drain ID | resume ID
+  worker list | drain ID | resume ID | quarantine ID | release ID
   job list | cancel ID
   work show ID | cancel ID
   trace show ID
--- a/src/services/askhandler.cpp
+++ b/src/services/askhandler.cpp
@@ -130,7 +130,7 @@
     }
     const JobId id {std::string {target.substr(jobsPath.size())}};
     if (request.method() == http::verb::delete_) {
-        const Call proposal {ProposeCall {encodeCommand(Command {CancelJob {id}})}};
+        const Call proposal {ProposeCall {encodeCommand(Command {CancelJob {id, wallTimeNow()}})}};
         const Result<Reply> cancelled = co_await call(proposal);
         if (!cancelled) {
             co_return unreachable(cancelled.error(), {});
--- a/src/services/cell.cpp
+++ b/src/services/cell.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t placementsPerRecord = 256;
 /// A worker that fails this many tasks in a row gets no more.
 constexpr std::uint32_t failuresToQuarantine = 5;
+/// How long a lost worker stays in the lists of operators.
+constexpr std::chrono::minutes lostWorkerShown {10};
 
 PlacementJob asPlacementJob(const JobId &id, const Job &job)
 {
@@ -53,7 +55,7 @@
     : times_(times)
     , state_(state)
     , propose_(std::move(propose))
-    , graceEnds_(now + times.exclusiveLease + times.slots.driftMargin)
+    , graceEnds_(now + leaseLife())
 {
 }
 
@@ -66,22 +68,33 @@
     worker.rack = announcement.rack;
     worker.incarnation = announcement.incarnation;
     worker.capacity = announcement.capacity;
-    worker.open = !record.lost && !announcement.draining && !draining_.contains(announcement.id)
+    worker.open = !record.lost && !announcement.draining
+        && !state_.drainedWorkers().contains(announcement.id)
         && !state_.quarantined().contains(announcement.id);
     placement_.setWorker(worker);
 }
 
+void Cell::reserve(const TaskKey &key, const Reservation &reservation)
+{
+    reservations_[key] = reservation;
+    tasksOn_[reservation.worker].insert(key);
+}
+
+/// Every placement of an earlier term is applied when this replica may lead, so once is enough.
 void Cell::takeOver()
 {
+    if (std::exchange(tookOver_, true)) {
+        return;
+    }
     for (const std::pair<const JobId, Job> &known : state_.jobs()) {
         const Job &job = known.second;
-        for (std::uint32_t task = 0; task < job.tasks.size(); ++task) {
+        for (std::uint32_t task = 0; task < job.tasks.size() && job.placed > 0; ++task) {
             const TaskRecord &record = job.tasks[task];
-            const TaskKey key {known.first, task};
-            if (record.state != TaskState::Placed || reservations_.contains(key)) {
+            if (record.state != TaskState::Placed) {
                 continue;
             }
-            reservations_[key] = {record.worker, record.attempt, job.spec.jobClass, job.spec.size};
+            reserve({known.first, task},
+                {record.worker, record.attempt, job.spec.jobClass, job.spec.size});
             placement_.reserve(record.worker, known.first, job.spec.jobClass, job.spec.size);
             if (!workers_.contains(record.worker)) {
                 workers_[record.worker].heard = graceEnds_;
@@ -112,19 +125,20 @@
             const Result<ApplyReply> & /*reply*/) { updateWorker(workers_[id]); });
 }
 
-WorkerReply Cell::announced(const WorkerAnnouncement &announcement, MonotonicTime now)
+WorkerReply Cell::announced(
+    const WorkerAnnouncement &announcement, MonotonicTime now, WallTime wall)
 {
+    wall_ = wall;
     WorkerRecord &record = workers_[announcement.id];
-    const bool restarted = record.announcement.incarnation != Incarnation {}
-        && record.announcement.incarnation != announcement.incarnation;
+    if (record.announcement.incarnation != announcement.incarnation) {
+        record.incarnationSince = now;
+        record.settled = false;
+        record.failuresInRow = 0;
+    }
     record.announcement = announcement;
     record.heard = now;
     record.lost = false;
     updateWorker(record);
-    if (restarted) {
-        record.failuresInRow = 0;
-        loseWorker(announcement.id);
-    }
     WorkerReply reply;
     std::set<TaskKey> reported;
     for (const TaskReport &report : announcement.tasks) {
@@ -175,22 +189,22 @@
 void Cell::takeAbsent(
     const WorkerAnnouncement &announcement, const std::set<TaskKey> &reported, WorkerReply &reply)
 {
+    const auto held = tasksOn_.find(announcement.id);
+    if (held == tasksOn_.end()) {
+        return;
+    }
     std::vector<std::pair<TaskKey, TaskEnd>> stopped;
-    for (const std::pair<const TaskKey, Reservation> &known : reservations_) {
-        const auto job = state_.jobs().find(known.first.first);
-        if (known.second.worker != announcement.id || reported.contains(known.first)
-            || job == state_.jobs().end()) {
+    for (const TaskKey &key : held->second) {
+        const auto job = state_.jobs().find(key.first);
+        if (reported.contains(key) || job == state_.jobs().end()
+            || !isOfIncarnation(key, announcement.incarnation)) {
             continue;
         }
-        const TaskRecord &task = job->second.tasks[known.first.second];
-        if (task.state != TaskState::Placed || task.incarnation != announcement.incarnation) {
-            continue;
-        }
-        if (job->second.cancelled || preempted_.contains(known.first)) {
+        if (job->second.cancelled || preempted_.contains(key)) {
             const bool cancelled = job->second.cancelled;
-            stopped.emplace_back(known.first, cancelled ? TaskEnd::Lost : TaskEnd::Preempted);
+            stopped.emplace_back(key, cancelled ? TaskEnd::Lost : TaskEnd::Preempted);
         } else {
-            reply.start.push_back(orderFor(job->second, known.first.second));
+            reply.start.push_back(orderFor(job->second, key.second));
         }
     }
     for (const std::pair<TaskKey, TaskEnd> &task : stopped) {
@@ -199,14 +213,24 @@
     }
 }
 
+bool Cell::isOfIncarnation(const TaskKey &key, const Incarnation &incarnation) const
+{
+    const auto job = state_.jobs().find(key.first);
+    if (job == state_.jobs().end()) {
+        return false;
+    }
+    const TaskRecord &task = job->second.tasks[key.second];
+    return task.state == TaskState::Placed && task.incarnation == incarnation;
+}
+
 void Cell::endTask(const JobId &job, std::uint32_t task, std::uint32_t attempt, TaskEnd end)
 {
     const TaskKey key {job, task};
     if (!ending_.insert(key).second) {
         return;
     }
-    propose_(
-        EndTask {job, task, attempt, end}, [this, key, attempt](const Result<ApplyReply> &reply) {
+    propose_(EndTask {job, task, attempt, end, wall_},
+        [this, key, attempt](const Result<ApplyReply> &reply) {
             ending_.erase(key);
             if (reply) {
                 releaseReservation(key, attempt);
@@ -222,46 +246,83 @@
     }
     const Reservation &held = found->second;
     placement_.release(held.worker, key.first, held.jobClass, held.size);
+    const auto neighbours = tasksOn_.find(held.worker);
+    neighbours->second.erase(key);
+    if (neighbours->second.empty()) {
+        tasksOn_.erase(neighbours);
+    }
     reservations_.erase(found);
     preempted_.erase(key);
 }
 
-void Cell::loseWorker(const WorkerId &worker)
+bool Cell::hasGone(const WorkerRecord &record, const TaskKey &key) const
 {
-    std::vector<std::pair<TaskKey, std::uint32_t>> lost;
-    for (const std::pair<const TaskKey, Reservation> &known : reservations_) {
-        if (known.second.worker == worker) {
-            lost.emplace_back(known.first, known.second.attempt);
-        }
-    }
-    for (const std::pair<TaskKey, std::uint32_t> &task : lost) {
-        endTask(task.first.first, task.first.second, task.second, TaskEnd::Lost);
-    }
+    return record.lost || !isOfIncarnation(key, record.announcement.incarnation);
 }
 
-void Cell::sweep(MonotonicTime now)
+void Cell::endGone(WorkerRecord &record, MonotonicTime now)
 {
-    if (now < graceEnds_) {
+    // An announcement of an earlier process may arrive late, so that another incarnation alone
+    // does not prove the tasks gone; their leases, which nobody renewed since, do.
+    const bool leasesOver = record.lost || now - record.incarnationSince > leaseLife();
+    if (record.settled || !leasesOver) {
         return;
     }
-    takeOver();
-    // Leases are counted by the worker from its announcement, by this side from the reply.
-    const Milliseconds life = times_.exclusiveLease + times_.slots.driftMargin;
+    record.settled = !record.lost;
+    const auto held = tasksOn_.find(record.announcement.id);
+    if (held == tasksOn_.end()) {
+        return;
+    }
+    const std::set<TaskKey> tasks = held->second;
+    for (const TaskKey &key : tasks) {
+        if (placing_.contains(key.first)) {
+            record.settled = false; // what becomes of its placement is not known yet
+        } else if (hasGone(record, key)) {
+            record.settled = false; // until the end is recorded
+            endTask(key.first, key.second, reservations_.at(key).attempt, TaskEnd::Lost);
+        }
+    }
+}
+
+/// Leases are counted by the worker from its announcement, by this side from the reply.
+Milliseconds Cell::leaseLife() const
+{
+    return times_.exclusiveLease + times_.slots.driftMargin;
+}
+
+void Cell::sweepWorkers(MonotonicTime now)
+{
     for (std::pair<const WorkerId, WorkerRecord> &known : workers_) {
-        if (now - known.second.heard > life && !known.second.lost) {
-            known.second.lost = true;
+        WorkerRecord &record = known.second;
+        if (now - record.heard > leaseLife() && !record.lost) {
+            record.lost = true;
+            record.settled = false;
             placement_.removeWorker(known.first);
             logWarning("cell.worker_lost", {{"worker", known.first.value()}});
         }
-        if (known.second.lost) {
-            loseWorker(known.first);
-        }
+        endGone(record, now);
     }
+    std::erase_if(workers_, [this, now](const std::pair<const WorkerId, WorkerRecord> &known) {
+        return known.second.lost && now - known.second.heard > lostWorkerShown
+            && !tasksOn_.contains(known.first);
+    });
+}
+
+void Cell::sweep(MonotonicTime now, WallTime wall)
+{
+    if (now < graceEnds_) {
+        return;
+    }
+    wall_ = wall;
+    takeOver();
+    sweepWorkers(now);
+    // A placement may be applied at once, which changes the set of jobs that wait.
+    const std::set<JobId> waiting = state_.waitingJobs();
     for (const bool urgent : {true, false}) {
-        for (const std::pair<const JobId, Job> &known : state_.jobs()) {
-            if (known.second.spec.urgent == urgent && !known.second.cancelled
-                && !placing_.contains(known.first)) {
-                placeJob(known.first, known.second);
+        for (const JobId &id : waiting) {
+            const Job &job = state_.jobs().at(id);
+            if (job.spec.urgent == urgent && !job.cancelled && !placing_.contains(id)) {
+                placeJob(id, job);
             }
         }
     }
@@ -290,8 +351,7 @@
     for (const ChosenWorker &chosen : result.chosen) {
         const std::uint32_t attempt = job.tasks[chosen.task].attempt + 1;
         command.placements.push_back({chosen.task, attempt, chosen.worker, chosen.incarnation});
-        reservations_[{id, chosen.task}] = {
-            chosen.worker, attempt, job.spec.jobClass, job.spec.size};
+        reserve({id, chosen.task}, {chosen.worker, attempt, job.spec.jobClass, job.spec.size});
     }
     placing_.insert(id);
     propose_(command, [this, id, command](const Result<ApplyReply> &reply) {
@@ -334,13 +394,14 @@
         if (!covers(most, needed)) {
             continue;
         }
-        for (const std::pair<const TaskKey, Reservation> &known : reservations_) {
+        for (const TaskKey &key : tasksOn_.at(worker.first)) {
             if (covers(room, needed)) {
                 break;
             }
-            if (known.second.worker == worker.first && isPreemptible(known.first, known.second)) {
-                preempted_.insert(known.first);
-                addSize(room, known.second.size);
+            const Reservation &held = reservations_.at(key);
+            if (isPreemptible(key, held)) {
+                preempted_.insert(key);
+                addSize(room, held.size);
             }
         }
         return;
@@ -357,9 +418,8 @@
     return placement_.feasible(wanted);
 }
 
-void Cell::drain(const WorkerId &worker)
+void Cell::refresh(const WorkerId &worker)
 {
-    draining_.insert(worker);
     const auto found = workers_.find(worker);
     if (found != workers_.end()) {
         updateWorker(found->second);
@@ -375,9 +435,10 @@
         list.push_back(boost::json::object {{"id", known.first.value()},
             {"availability_zone", announcement.zone.value()}, {"rack", announcement.rack.value()},
             {"state",
-                known.second.lost           ? "lost"
-                    : announcement.draining ? "draining"
-                                            : "serving"},
+                known.second.lost ? "lost"
+                    : announcement.draining || state_.drainedWorkers().contains(known.first)
+                    ? "draining"
+                    : "serving"},
             {"quarantined", state_.quarantined().contains(known.first)},
             {"tasks", announcement.tasks.size()}, {"free_millicores", free.milliCores},
             {"free_memory_bytes", free.memory.value()}});
--- a/src/services/cell.h
+++ b/src/services/cell.h
@@ -23,12 +23,14 @@
     /// of an earlier leader is over.
     Cell(const TimeSettings &times, const StateMachine &state, Propose propose, MonotonicTime now);
 
-    [[nodiscard]] WorkerReply announced(const WorkerAnnouncement &announcement, MonotonicTime now);
+    [[nodiscard]] WorkerReply announced(
+        const WorkerAnnouncement &announcement, MonotonicTime now, WallTime wall);
     /// Places what waits and ends the tasks of workers whose leases are over.
-    void sweep(MonotonicTime now);
+    void sweep(MonotonicTime now, WallTime wall);
     /// Whether the job could ever run on the workers known.
     [[nodiscard]] PlacementObstacle feasible(const SubmitJob &job) const;
-    void drain(const WorkerId &worker);
+    /// An operator's wish about the worker was recorded.
+    void refresh(const WorkerId &worker);
     [[nodiscard]] std::string describeWorkers() const;
 
 private:
@@ -36,6 +38,10 @@
     {
         WorkerAnnouncement announcement;
         MonotonicTime heard;
+        // When the incarnation of the announcement was first heard, or heard again after another.
+        MonotonicTime incarnationSince;
+        // No task on it is of another incarnation; never when lost.
+        bool settled = false;
         bool lost = false;
         std::uint32_t failuresInRow = 0;
     };
@@ -49,10 +55,16 @@
     };
 
     void takeOver();
+    void reserve(const TaskKey &key, const Reservation &reservation);
     void updateWorker(const WorkerRecord &record);
     void endTask(const JobId &job, std::uint32_t task, std::uint32_t attempt, TaskEnd end);
     void releaseReservation(const TaskKey &key, std::uint32_t attempt);
-    void loseWorker(const WorkerId &worker);
+    void sweepWorkers(MonotonicTime now);
+    /// Ends what runs in no process of the worker any more, once its leases are over.
+    void endGone(WorkerRecord &record, MonotonicTime now);
+    [[nodiscard]] bool hasGone(const WorkerRecord &record, const TaskKey &key) const;
+    [[nodiscard]] Milliseconds leaseLife() const;
+    [[nodiscard]] bool isOfIncarnation(const TaskKey &key, const Incarnation &incarnation) const;
     void placeJob(const JobId &id, const Job &job);
     void propose(const JobId &id, const Job &job, const PlacementResult &result);
     /// Frees room for urgent work by stopping tasks that are not urgent; what they hold is free
@@ -76,12 +88,15 @@
     std::map<WorkerId, WorkerRecord> workers_;
     // Invariant: what placement_ holds reserved, task by task.
     std::map<TaskKey, Reservation> reservations_;
+    // Invariant: the keys of reservations_, by worker; no set is empty.
+    std::map<WorkerId, std::set<TaskKey>> tasksOn_;
+    bool tookOver_ = false;
+    WallTime wall_; // of the input being handled
     // Tasks whose end is proposed and not applied yet, and jobs whose placement is.
     std::set<TaskKey> ending_;
     std::set<JobId> placing_;
     // Tasks that were told to make room and are still listed by their worker.
     std::set<TaskKey> preempted_;
-    std::set<WorkerId> draining_;
 };
 
 } // namespace crocusmill
--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -215,8 +215,7 @@
         slots.id = announcement.id;
         slots.service = {announcement.environment, announcement.stage, announcement.service};
         slots.slots = announcement.slots;
-        slots.draining =
-            announcement.mode == UpstreamMode::Draining || drained_.contains(announcement.id);
+        slots.draining = isDraining(announcement);
         slots.incarnation = announcement.incarnation;
         slots.running = announcement.running;
         lead_->ledger.announced(slots, now);
@@ -257,7 +256,7 @@
 
     void on(const WorkerCall &call, const ReplyHandler &done)
     {
-        done(Reply {lead_->cell.announced(call.announcement, monotonicNow())});
+        done(Reply {lead_->cell.announced(call.announcement, monotonicNow(), wallNow())});
     }
 
     void on(const JobCall &call, const ReplyHandler &done)
@@ -283,7 +282,8 @@
             reply.body = describeMembers(*journal_->consensus());
             break;
         case OperatorAction::ListUpstreams:
-            reply.body = describeUpstreams(lead_->directory, lead_->ledger, drained_);
+            reply.body = describeUpstreams(
+                lead_->directory, lead_->ledger, journal_->state().drainedUpstreams());
             break;
         case OperatorAction::ListWorkers:
             reply.body = lead_->cell.describeWorkers();
@@ -295,12 +295,14 @@
             reply.body = describeEnvironments(journal_->state());
             break;
         case OperatorAction::DrainUpstream:
-            reply.found = lead_->directory.find(UpstreamId {call.subject}) != nullptr;
-            drained_.insert(UpstreamId {call.subject});
-            break;
+        case OperatorAction::ResumeUpstream:
+            drainUpstream(
+                UpstreamId {call.subject}, call.action == OperatorAction::DrainUpstream, done);
+            return;
         case OperatorAction::DrainWorker:
-            lead_->cell.drain(WorkerId {call.subject});
-            break;
+        case OperatorAction::ResumeWorker:
+            drainWorker(WorkerId {call.subject}, call.action == OperatorAction::DrainWorker, done);
+            return;
         case OperatorAction::ReplaceMember:
             reply.found = journal_->replace(VmId {call.subject}).has_value();
             break;
@@ -311,6 +313,48 @@
         done(Reply {reply});
     }
 
+    void drainUpstream(const UpstreamId &id, bool drained, const ReplyHandler &done)
+    {
+        if (drained && lead_->directory.find(id) == nullptr) {
+            done(Reply {OperatorReply {.found = false, .body = {}}});
+            return;
+        }
+        recordFor(DrainUpstream {id, drained}, done, [this, id]() {
+            const Directory::Record *upstream = lead_->directory.find(id);
+            if (upstream != nullptr) {
+                lead_->ledger.setDraining(id, isDraining(upstream->announcement));
+            }
+        });
+    }
+
+    void drainWorker(const WorkerId &id, bool drained, const ReplyHandler &done)
+    {
+        recordFor(DrainWorker {id, drained}, done, [this, id]() { lead_->cell.refresh(id); });
+    }
+
+    /// Records an operator's wish; `applied` runs while this VM still leads in the same term.
+    void recordFor(
+        const Command &command, const ReplyHandler &done, const std::function<void()> &applied)
+    {
+        const Term term = lead_->term;
+        journal_->propose(command, [this, term, done, applied](const Result<ApplyReply> &result) {
+            if (!result) {
+                done(result.error());
+                return;
+            }
+            if (lead_ && lead_->term == term) {
+                applied();
+            }
+            done(Reply {OperatorReply {}});
+        });
+    }
+
+    bool isDraining(const Announcement &announcement) const
+    {
+        return announcement.mode == UpstreamMode::Draining
+            || journal_->state().drainedUpstreams().contains(announcement.id);
+    }
+
     void on(const HelloCall & /*call*/, const ReplyHandler & /*done*/)
     {
     }
@@ -348,7 +392,7 @@
             settings_.times.slots.grantLife + settings_.times.slots.driftMargin;
         std::erase_if(lead_->entries,
             [now, life](const auto &known) { return now - known.second.heard > life; });
-        lead_->cell.sweep(now);
+        lead_->cell.sweep(now, wallNow());
         if (now < lead_->graceEnds) {
             return;
         }
@@ -363,7 +407,7 @@
     void forget()
     {
         const WallTime before = wallNow() - settings_.state->keepEnded;
-        record({ForgetWork {before}});
+        record({ForgetEnded {before}});
     }
 
     /// Work whose entry is gone: its attempt is settled, then another entry carries it on, or it
@@ -434,7 +478,6 @@
     Settings settings_;
     Journal *journal_ = nullptr;
     std::unique_ptr<Leadership> lead_;
-    std::set<UpstreamId> drained_;
     asio::steady_timer sweepTimer_;
 };
 
--- a/src/services/operators.cpp
+++ b/src/services/operators.cpp
@@ -251,9 +251,15 @@
         if (what == "upstreams" && verb == "drain") {
             co_return co_await ask(OperatorAction::DrainUpstream, subject);
         }
+        if (what == "upstreams" && verb == "resume") {
+            co_return co_await ask(OperatorAction::ResumeUpstream, subject);
+        }
         if (what == "workers" && verb == "drain") {
             co_return co_await ask(OperatorAction::DrainWorker, subject);
         }
+        if (what == "workers" && verb == "resume") {
+            co_return co_await ask(OperatorAction::ResumeWorker, subject);
+        }
         if (what == "workers" && verb == "quarantine") {
             const bool on = request.body() != "off";
             const Command command {QuarantineWorker {WorkerId {subject}, on}};
@@ -263,7 +269,7 @@
             co_return co_await ask(OperatorAction::ReplaceMember, subject);
         }
         if (what == "jobs" && removes) {
-            const Command command {CancelJob {JobId {subject}}};
+            const Command command {CancelJob {JobId {subject}, wallTimeNow()}};
             co_return co_await record(command);
         }
         if (what == "work" && removes) {
--- a/src/slots/slotledger.cpp
+++ b/src/slots/slotledger.cpp
@@ -49,6 +49,15 @@
     settleExpired(known);
 }
 
+void SlotLedger::setDraining(const UpstreamId &upstream, bool draining)
+{
+    const auto found = upstreams_.find(upstream);
+    if (found != upstreams_.end()) {
+        found->second.announced.draining = draining;
+        changed_.insert(found->second.announced.service);
+    }
+}
+
 void SlotLedger::gone(const UpstreamId &upstream)
 {
     const auto found = upstreams_.find(upstream);
--- a/src/state/codec.cpp
+++ b/src/state/codec.cpp
@@ -18,11 +18,15 @@
     std::vector<Work> work;
     std::vector<WorkId> ended;
     std::vector<Job> jobs;
+    std::vector<JobId> endedJobs;
     std::vector<WorkerId> quarantined;
+    std::vector<UpstreamId> drainedUpstreams;
+    std::vector<WorkerId> drainedWorkers;
 };
 
-BOOST_DESCRIBE_STRUCT(
-    StateImage, (), (configurationIndex, environments, work, ended, jobs, quarantined))
+BOOST_DESCRIBE_STRUCT(StateImage, (),
+    (configurationIndex, environments, work, ended, jobs, endedJobs, quarantined, drainedUpstreams,
+        drainedWorkers))
 
 template <typename Map> std::vector<typename Map::mapped_type> valuesOf(const Map &map)
 {
@@ -63,7 +67,10 @@
     image.work = valuesOf(work_);
     image.ended.assign(ended_.begin(), ended_.end());
     image.jobs = valuesOf(jobs_);
+    image.endedJobs.assign(endedJobs_.begin(), endedJobs_.end());
     image.quarantined.assign(quarantined_.begin(), quarantined_.end());
+    image.drainedUpstreams.assign(drainedUpstreams_.begin(), drainedUpstreams_.end());
+    image.drainedWorkers.assign(drainedWorkers_.begin(), drainedWorkers_.end());
     return encodeStruct(image);
 }
 
@@ -85,7 +92,10 @@
         const JobId id = job.spec.job;
         fresh.jobs_[id] = std::move(job);
     }
+    fresh.endedJobs_.assign(image.endedJobs.begin(), image.endedJobs.end());
     fresh.quarantined_.insert(image.quarantined.begin(), image.quarantined.end());
+    fresh.drainedUpstreams_.insert(image.drainedUpstreams.begin(), image.drainedUpstreams.end());
+    fresh.drainedWorkers_.insert(image.drainedWorkers.begin(), image.drainedWorkers.end());
     fresh.rebuildIndices();
     *this = std::move(fresh);
     return success();
@@ -97,16 +107,12 @@
     for (const std::pair<const EnvironmentName, EnvironmentState> &known : environments_) {
         cacheDocument(known.second);
     }
-    reservedMilliCores_.clear();
-    for (const std::pair<const JobId, Job> &known : jobs_) {
-        const Job &job = known.second;
-        for (const TaskRecord &task : job.tasks) {
-            if (task.state == TaskState::Placed) {
-                reservedMilliCores_[{job.spec.environment, job.spec.team}] +=
-                    job.spec.size.milliCores;
-            }
-        }
-    }
+    rebuildJobs();
+    rebuildWork();
+}
+
+void StateMachine::rebuildWork()
+{
     keys_.clear();
     attempts_.clear();
     open_.clear();
--- a/src/state/joblist.cpp
+++ b/src/state/joblist.cpp
@@ -52,7 +52,9 @@
     Job job;
     job.spec = command;
     job.tasks.resize(command.tasks);
+    job.waiting = command.tasks;
     jobs_.emplace(command.job, std::move(job));
+    waitingJobs_.insert(command.job);
     return {};
 }
 
@@ -79,7 +81,7 @@
     reserved += wanted;
     for (const TaskPlacement &placement : command.placements) {
         TaskRecord &task = job.tasks[placement.task];
-        task.state = TaskState::Placed;
+        setTask(job, task, TaskState::Placed);
         task.attempt = placement.attempt;
         task.worker = placement.worker;
         task.incarnation = placement.incarnation;
@@ -109,11 +111,14 @@
     }
     const bool service = job.spec.jobClass == JobClass::Service;
     if (command.end == TaskEnd::Succeeded && !service) {
-        task.state = TaskState::Done;
+        setTask(job, task, TaskState::Done);
     } else if (job.cancelled || task.failures >= mostFailures) {
-        task.state = TaskState::GivenUp;
+        setTask(job, task, TaskState::GivenUp);
     } else {
-        task.state = TaskState::Waiting;
+        setTask(job, task, TaskState::Waiting);
+    }
+    if (job.hasEnded()) {
+        endJob(job, command.at);
     }
     return {};
 }
@@ -124,12 +129,19 @@
     if (found == jobs_.end()) {
         return replyWith(StateError::NoSuchJob);
     }
-    found->second.cancelled = true;
-    for (TaskRecord &task : found->second.tasks) {
+    Job &job = found->second;
+    job.cancelled = true;
+    if (job.hasEnded()) {
+        return {};
+    }
+    for (TaskRecord &task : job.tasks) {
         if (task.state == TaskState::Waiting) {
-            task.state = TaskState::GivenUp;
+            setTask(job, task, TaskState::GivenUp);
         }
     }
+    if (job.hasEnded()) {
+        endJob(job, command.at);
+    }
     return {};
 }
 
@@ -143,6 +155,98 @@
     return {};
 }
 
+ApplyReply StateMachine::on(const DrainUpstream &command)
+{
+    if (command.drained) {
+        drainedUpstreams_.insert(command.upstream);
+    } else {
+        drainedUpstreams_.erase(command.upstream);
+    }
+    return {};
+}
+
+ApplyReply StateMachine::on(const DrainWorker &command)
+{
+    if (command.drained) {
+        drainedWorkers_.insert(command.worker);
+    } else {
+        drainedWorkers_.erase(command.worker);
+    }
+    return {};
+}
+
+bool Job::hasEnded() const
+{
+    return waiting == 0 && placed == 0;
+}
+
+void StateMachine::setTask(Job &job, TaskRecord &task, TaskState state)
+{
+    job.waiting -= task.state == TaskState::Waiting ? 1 : 0;
+    job.placed -= task.state == TaskState::Placed ? 1 : 0;
+    task.state = state;
+    job.waiting += state == TaskState::Waiting ? 1 : 0;
+    job.placed += state == TaskState::Placed ? 1 : 0;
+    if (job.waiting > 0) {
+        waitingJobs_.insert(job.spec.job);
+    } else {
+        waitingJobs_.erase(job.spec.job);
+    }
+}
+
+void StateMachine::endJob(Job &job, WallTime at)
+{
+    job.endedAt = at;
+    endedJobs_.push_back(job.spec.job);
+}
+
+void StateMachine::forgetJobs(WallTime before)
+{
+    while (!endedJobs_.empty()) {
+        const auto found = jobs_.find(endedJobs_.front());
+        if (found->second.endedAt >= before) {
+            return;
+        }
+        jobs_.erase(found);
+        endedJobs_.pop_front();
+    }
+}
+
+void StateMachine::rebuildJobs()
+{
+    reservedMilliCores_.clear();
+    waitingJobs_.clear();
+    for (std::pair<const JobId, Job> &known : jobs_) {
+        Job &job = known.second;
+        job.waiting = 0;
+        job.placed = 0;
+        for (const TaskRecord &task : job.tasks) {
+            job.waiting += task.state == TaskState::Waiting ? 1 : 0;
+            job.placed += task.state == TaskState::Placed ? 1 : 0;
+        }
+        reservedMilliCores_[{job.spec.environment, job.spec.team}] +=
+            std::uint64_t {job.placed} * job.spec.size.milliCores;
+        if (job.waiting > 0) {
+            waitingJobs_.insert(known.first);
+        }
+    }
+}
+
+const std::set<JobId> &StateMachine::waitingJobs() const
+{
+    return waitingJobs_;
+}
+
+const std::set<UpstreamId> &StateMachine::drainedUpstreams() const
+{
+    return drainedUpstreams_;
+}
+
+const std::set<WorkerId> &StateMachine::drainedWorkers() const
+{
+    return drainedWorkers_;
+}
+
 const std::map<JobId, Job> &StateMachine::jobs() const
 {
     return jobs_;
--- a/src/state/workledger.cpp
+++ b/src/state/workledger.cpp
@@ -208,13 +208,20 @@
     return replyFor(command.work);
 }
 
-ApplyReply StateMachine::on(const ForgetWork &command)
+ApplyReply StateMachine::on(const ForgetEnded &command)
+{
+    forgetWork(command.before);
+    forgetJobs(command.before);
+    return {};
+}
+
+void StateMachine::forgetWork(WallTime before)
 {
     while (!ended_.empty()) {
         const auto found = work_.find(ended_.front());
         if (found != work_.end()) {
             const Work &work = found->second;
-            if (work.endedAt >= command.before) {
+            if (work.endedAt >= before) {
                 break;
             }
             dropKey(work);
@@ -225,7 +232,6 @@
         }
         ended_.pop_front();
     }
-    return {};
 }
 
 void StateMachine::dropKey(const Work &work)
--- a/src/wire/calls.h
+++ b/src/wire/calls.h
@@ -165,7 +165,9 @@
     ListEnvironments,
     DrainVm,
     DrainUpstream,
+    ResumeUpstream,
     DrainWorker,
+    ResumeWorker,
     ReplaceMember,
 };
 
--- a/src/wire/commandjson.h
+++ b/src/wire/commandjson.h
@@ -34,15 +34,17 @@
 BOOST_DESCRIBE_STRUCT(FinishWork, (), (work, attempt, answer, at))
 BOOST_DESCRIBE_STRUCT(RevokeWork, (), (work, cancel, at))
 BOOST_DESCRIBE_STRUCT(AdoptWork, (), (work, owner))
-BOOST_DESCRIBE_STRUCT(ForgetWork, (), (before))
+BOOST_DESCRIBE_STRUCT(ForgetEnded, (), (before))
 BOOST_DESCRIBE_STRUCT(TaskSize, (), (milliCores, memory, accelerators))
 BOOST_DESCRIBE_STRUCT(SubmitJob, (),
     (job, environment, team, jobClass, urgent, tasks, size, expectedRun, command, at))
 BOOST_DESCRIBE_STRUCT(TaskPlacement, (), (task, attempt, worker, incarnation))
 BOOST_DESCRIBE_STRUCT(PlaceTasks, (), (job, placements))
-BOOST_DESCRIBE_STRUCT(EndTask, (), (job, task, attempt, end))
-BOOST_DESCRIBE_STRUCT(CancelJob, (), (job))
+BOOST_DESCRIBE_STRUCT(EndTask, (), (job, task, attempt, end, at))
+BOOST_DESCRIBE_STRUCT(CancelJob, (), (job, at))
 BOOST_DESCRIBE_STRUCT(QuarantineWorker, (), (worker, quarantined))
+BOOST_DESCRIBE_STRUCT(DrainUpstream, (), (upstream, drained))
+BOOST_DESCRIBE_STRUCT(DrainWorker, (), (worker, drained))
 BOOST_DESCRIBE_STRUCT(PromotionConflict, (), (version, digest, by))
 BOOST_DESCRIBE_STRUCT(ApplyReply, (), (error, work, repeated, conflict))
 
@@ -53,6 +55,6 @@
     (id, environment, service, key, digest, workClass, repeatable, exclusive, owner, admittedAt,
         deadline, endedAt, state, cancelled, attempts, request, answer))
 BOOST_DESCRIBE_STRUCT(TaskRecord, (), (state, attempt, failures, worker, incarnation))
-BOOST_DESCRIBE_STRUCT(Job, (), (spec, tasks, cancelled))
+BOOST_DESCRIBE_STRUCT(Job, (), (spec, tasks, cancelled, endedAt))
 
 } // namespace crocusmill
--- a/test/live/cluster.cpp
+++ b/test/live/cluster.cpp
@@ -233,6 +233,19 @@
     }
 }
 
+void Cluster::cutGroup(const std::set<std::uint32_t> &group, bool isCut)
+{
+    for (std::uint32_t other = 1; other <= options_.vms; ++other) {
+        if (group.contains(other)) {
+            continue;
+        }
+        for (const std::uint32_t vm : group) {
+            relays_[vm]->cut(ipOf(other), isCut);
+            relays_[other]->cut(ipOf(vm), isCut);
+        }
+    }
+}
+
 fs::path Cluster::folderOf(std::uint32_t vm) const
 {
     return folder_ / ("data-" + std::to_string(vm));
--- a/test/live/cluster.h
+++ b/test/live/cluster.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,8 @@
     int waitExit(std::uint32_t vm);
     /// Silently cuts a VM off from all others.
     void cut(std::uint32_t vm, bool isCut);
+    /// Silently cuts these VMs off from all others, not from each other.
+    void cutGroup(const std::set<std::uint32_t> &group, bool isCut);
     void loseFolder(std::uint32_t vm);
     /// Gives a VM that is not started yet a peer key that the others do not have.
     void useOtherKey(std::uint32_t vm) const;
--- a/test/live/faults.cpp
+++ b/test/live/faults.cpp
@@ -49,6 +49,23 @@
         return count;
     }
 
+    /// What operators are told of an upstream; empty when nobody answers.
+    std::string upstream(std::uint32_t vm, const std::string &id)
+    {
+        const HttpReply reply = cluster.operate(vm, "GET", "/v1/upstreams");
+        if (reply.status != 200) {
+            return {};
+        }
+        const boost::json::value upstreams = boost::json::parse(reply.body);
+        for (const boost::json::value &known : upstreams.as_array()) {
+            if (known.at("id").as_string() == std::string_view {id}) {
+                return std::string {known.at("state").as_string()} + ", granted "
+                    + std::to_string(known.at("granted").to_number<std::uint32_t>());
+            }
+        }
+        return {};
+    }
+
     Cluster cluster;
     StandIn standIn;
 };
@@ -281,6 +298,35 @@
     CHECK(cluster.call(4, "POST", "/quotes", "x").status == 404);
 }
 
+TEST_CASE("an operator's drain of a quiet upstream takes effect and outlasts the leader")
+{
+    Desk desk {24800};
+    const std::string drained = desk.standIn.idOf(0).value();
+    REQUIRE(desk.cluster.operate(1, "POST", "/v1/upstreams/" + drained + "/drain").status == 200);
+    REQUIRE(eventually([&]() { return desk.upstream(2, drained) == "draining, granted 0"; }));
+
+    const std::uint32_t leader = desk.cluster.leader();
+    desk.cluster.kill(leader);
+    REQUIRE(eventually([&]() { return desk.recorded(other(leader), "new leader"); }));
+    // Longer than what a new leader waits before it grants anything.
+    const MonotonicTime until = std::chrono::steady_clock::now() + std::chrono::seconds {6};
+    while (std::chrono::steady_clock::now() < until) {
+        const std::string seen = desk.upstream(other(leader), drained);
+        CHECK((seen.empty() || seen == "draining, granted 0"));
+        std::this_thread::sleep_for(Milliseconds {200});
+    }
+    // Resent until its outcome is known: it may meet another change of the leader.
+    REQUIRE(eventually([&]() {
+        return desk.cluster.operate(other(leader), "POST", "/v1/upstreams/" + drained + "/resume")
+                   .status
+            == 200;
+    }));
+    CHECK(eventually([&]() {
+        return desk.upstream(other(leader), drained).starts_with("serving, granted")
+            && desk.upstream(other(leader), drained) != "serving, granted 0";
+    }));
+}
+
 TEST_CASE("a damaged data folder stops the replica with a typed error")
 {
     Desk desk {24000};
--- a/test/statemachine.cpp
+++ b/test/statemachine.cpp
@@ -177,13 +177,58 @@
     Applier apply;
     apply(admission("a", true, false));
     apply(RevokeWork {WorkId {"a"}, false, WallTime {Milliseconds {10}}});
-    apply(ForgetWork {WallTime {Milliseconds {10}}});
+    apply(ForgetEnded {WallTime {Milliseconds {10}}});
     CHECK(apply.state.findWork(WorkId {"a"}) != nullptr);
-    apply(ForgetWork {WallTime {Milliseconds {11}}});
+    apply(ForgetEnded {WallTime {Milliseconds {11}}});
     CHECK(apply.state.findWork(WorkId {"a"}) == nullptr);
     CHECK(apply.state.findKey(EnvironmentName {"rocola"}, IdempotencyKey {"key-a"}) == nullptr);
 }
 
+TEST_CASE("ended jobs are forgotten in the order of ending, running ones are kept")
+{
+    Applier apply;
+    for (const char *id : {"done", "cancelled", "running"}) {
+        SubmitJob job;
+        job.job = JobId {id};
+        job.tasks = 2;
+        apply(job);
+        apply(PlaceTasks {job.job, {{0, 1, WorkerId {"w"}, Incarnation {"i"}}}});
+    }
+    CHECK(apply.state.waitingJobs().size() == 3);
+    apply(PlaceTasks {JobId {"done"}, {{1, 1, WorkerId {"w"}, Incarnation {"i"}}}});
+    CHECK(apply.state.waitingJobs().size() == 2);
+    const WallTime ended {Milliseconds {10}};
+    apply(EndTask {JobId {"done"}, 0, 1, TaskEnd::Succeeded, {}});
+    apply(EndTask {JobId {"done"}, 1, 1, TaskEnd::Succeeded, ended});
+    apply(CancelJob {JobId {"cancelled"}, ended});
+    apply(EndTask {JobId {"cancelled"}, 0, 1, TaskEnd::Lost, ended});
+    apply(CancelJob {JobId {"cancelled"}, ended});
+    apply(ForgetEnded {ended});
+    CHECK(apply.state.jobs().size() == 3);
+
+    StateMachine restored;
+    REQUIRE(restored.restore(apply.state.snapshot()).has_value());
+    CHECK(restored.waitingJobs() == std::set<JobId> {JobId {"running"}});
+    restored.apply(ForgetEnded {WallTime {Milliseconds {11}}}, LogIndex {100});
+    CHECK(restored.jobs().size() == 1);
+    CHECK(restored.jobs().contains(JobId {"running"}));
+}
+
+TEST_CASE("drains are part of the state and end when the operator says so")
+{
+    Applier apply;
+    apply(DrainUpstream {UpstreamId {"u"}, true});
+    apply(DrainWorker {WorkerId {"w"}, true});
+    StateMachine restored;
+    REQUIRE(restored.restore(apply.state.snapshot()).has_value());
+    CHECK(restored.drainedUpstreams().contains(UpstreamId {"u"}));
+    CHECK(restored.drainedWorkers().contains(WorkerId {"w"}));
+    apply(DrainUpstream {UpstreamId {"u"}, false});
+    apply(DrainWorker {WorkerId {"w"}, false});
+    CHECK(apply.state.drainedUpstreams().empty());
+    CHECK(apply.state.drainedWorkers().empty());
+}
+
 TEST_CASE("the ledger agrees with the naive version on every sequence of commands")
 {
     const bool held = rc::check([](std::uint64_t seed, bool repeatable, bool exclusive) {
@@ -291,7 +336,7 @@
     CHECK(apply(place).error == StateError::None);
     CHECK(apply.state.reservedCores(job.environment, job.team) == 3);
     CHECK(apply(place).error == StateError::WrongPlacement);
-    apply(EndTask {job.job, 0, 1, TaskEnd::Succeeded});
+    apply(EndTask {job.job, 0, 1, TaskEnd::Succeeded, {}});
     CHECK(apply.state.reservedCores(job.environment, job.team) == 2);
 }
 
