A key that was told not run is not run by a submission that was held up

Ruled out: refusals before admission (the answers name work of their own that was revoked), the settling of attempts, a second start (starts were one).

Change: an admission carries what its entry knew to be applied when the request arrived, from the leader's replies to beats; only one that knew of the revocation is admitted again. `not_run` comes with Retry-After: 1, as a retry within one beat may be told the same once more; the live case of the refusal waits that second now before it asks again, and still expects 200 at the first try. By the way: work whose admission was recorded without its entry's knowledge was carried by nobody while that entry lived; the leader gives it up two seconds after its deadline, and does not walk a set that its own steps change.

--- a/include/crocusmill/commands.h
+++ b/include/crocusmill/commands.h
@@ -83,6 +83,8 @@
     bool repeatable = false;
     bool exclusive = false;
     EntryEpoch owner;
+    /// What the entry knew to be applied when the request arrived: no later than the arrival.
+    LogIndex seen;
     WallTime at;
     WallTime deadline;
     /// Present where the caller does not wait, so that another entry can carry on.
--- a/include/crocusmill/statemachine.h
+++ b/include/crocusmill/statemachine.h
@@ -63,6 +63,7 @@
     WallTime admittedAt;
     WallTime deadline;
     WallTime endedAt;
+    LogIndex endedIndex; // of the command that ended it
     WorkState state = WorkState::Admitted;
     bool cancelled = false;
     // Invariant: all but the last are over when the work is exclusive or not repeatable; all but
--- a/src/services/entryservice.cpp
+++ b/src/services/entryservice.cpp
@@ -188,6 +188,11 @@
         return RequestId {nextRequest_.fetch_add(1)};
     }
 
+    LogIndex seen() const override
+    {
+        return LogIndex {seen_.load()};
+    }
+
     std::shared_ptr<const RouteTable> routes() const override
     {
         return routes_.load();
@@ -348,6 +353,7 @@
         slots_.granted(reply.grants, asked, reply.grantLife, monotonicNow());
         takeEnvironments(reply);
         confirmed_ = asked;
+        seen_.store(std::max(seen_.load(), reply.applied.value()));
         for (const AttemptId &attempt : reply.departed) {
             const auto found = sent_.find(attempt);
             if (found != sent_.end() && found->second.lingering) {
@@ -446,6 +452,8 @@
     std::map<AttemptId, Sent> sent_;
     std::map<RequestId, std::function<void(DispatchResult)>> waiting_;
     std::atomic<std::uint64_t> nextRequest_ {1};
+    // Never above what is applied; read by the traffic threads.
+    std::atomic<std::uint64_t> seen_ {0};
     std::atomic<Readiness> readiness_ {Readiness::Starting};
     std::atomic<std::shared_ptr<const RouteTable>> routes_;
 };
--- a/src/services/flowanswers.cpp
+++ b/src/services/flowanswers.cpp
@@ -8,6 +8,18 @@
 namespace crocusmill
 {
 
+namespace
+{
+
+/// A key may be tried again once every entry has heard that it was given up.
+std::optional<Milliseconds> retryAfter(Execution execution)
+{
+    constexpr Milliseconds wait {1'000};
+    return execution == Execution::NotRun ? std::optional<Milliseconds> {wait} : std::nullopt;
+}
+
+} // namespace
+
 std::string_view text(Execution execution)
 {
     switch (execution) {
@@ -86,6 +98,7 @@
     problem.detail = detail;
     problem.execution = std::string {text(execution)};
     problem.workId = work.value();
+    problem.retryAfter = retryAfter(execution);
     HttpResponse response = problemResponse(problem);
     identify(response, work);
     return response;
@@ -112,6 +125,7 @@
         : "no attempt answered";
     problem.execution = std::string {text(work.execution())};
     problem.workId = work.id.value();
+    problem.retryAfter = retryAfter(work.execution());
     HttpResponse response = problemResponse(problem);
     response.set(headers::workId, work.id.value());
     return response;
--- a/src/services/ingress.cpp
+++ b/src/services/ingress.cpp
@@ -217,9 +217,9 @@
         co_return response;
     }
 
-    static FlowRequest makeFlowRequest(const HttpRequest &request,
+    FlowRequest makeFlowRequest(const HttpRequest &request,
         const std::shared_ptr<const RouteTable::Environment> &environment, const Route &route,
-        const TraceContext &trace, const SpanId &span)
+        const TraceContext &trace, const SpanId &span) const
     {
         FlowRequest flow;
         flow.environment = environment;
@@ -230,6 +230,7 @@
         if (!key.empty()) {
             flow.key = IdempotencyKey {std::string {key}};
         }
+        flow.seen = entry_->seen();
         flow.trace = trace;
         flow.span = span;
         Milliseconds time = route.deadline;
--- a/src/services/interfaces.h
+++ b/src/services/interfaces.h
@@ -69,7 +69,7 @@
     [[nodiscard]] virtual const Consensus *consensus() const = 0;
     [[nodiscard]] virtual HelloReply hello() const = 0;
     [[nodiscard]] virtual bool form(const Membership &membership) = 0;
-    /// A VM whose replica is not a member is alive; it may take the place of a lost disk.
+    /// A VM that has a replica is alive; where it is no voter, it may take a lost one's place.
     virtual void offerReplica(const VmId &vm, ReplicaId replica, const NodeAddress &address) = 0;
     [[nodiscard]] virtual Result<void> replace(const VmId &vm) = 0;
 };
@@ -140,6 +140,8 @@
 
     /// Any thread.
     [[nodiscard]] virtual RequestId nextRequest() = 0;
+    /// The newest place in the journal that a leader said it had applied.
+    [[nodiscard]] virtual LogIndex seen() const = 0;
     [[nodiscard]] virtual std::shared_ptr<const RouteTable> routes() const = 0;
     [[nodiscard]] virtual Readiness readiness() const = 0;
 };
--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -17,6 +17,8 @@
 
 constexpr Milliseconds sweepInterval {200};
 constexpr Milliseconds forgetInterval {10'000};
+/// How long after its deadline work is left to its entry.
+constexpr Milliseconds overdueMargin {2'000};
 
 MonotonicTime monotonicNow()
 {
@@ -122,6 +124,7 @@
         lead_->ledger.reported(call.epoch, call.full, call.held, call.demand, now);
         reply.grants = lead_->ledger.grant(call.epoch, now);
         reply.grantLife = settings_.times.slots.grantLife;
+        reply.applied = journal_->consensus()->appliedIndex();
         reply.configuration = journal_->state().configurationIndex();
         reply.environments = environmentsSince(journal_->state(), call.configuration);
         reply.directory = lead_->directory.version();
@@ -410,21 +413,33 @@
         record({ForgetEnded {before}});
     }
 
-    /// Work whose entry is gone: its attempt is settled, then another entry carries it on, or it
-    /// is given up where nobody has the request.
+    /// Work whose entry is gone or has let its deadline pass: its attempt is settled, then another
+    /// entry carries it on, or it is given up where nobody has the request.
     void recoverWork()
     {
+        for (const WorkId &id : abandonedWork()) {
+            const Work &work = *journal_->state().findWork(id);
+            if (!work.attempts.empty() && work.attempts.back().state == AttemptState::Started) {
+                lead_->leases.settle(work.attempts.back().id);
+            } else {
+                recoverOne(work);
+            }
+        }
+    }
+
+    std::vector<WorkId> abandonedWork() const
+    {
+        std::vector<WorkId> abandoned;
+        const WallTime overdue = wallNow() - overdueMargin;
         for (const WorkId &id : journal_->state().openWork()) {
             const Work *work = journal_->state().findWork(id);
-            if (lead_->entries.contains(work->owner) || lead_->recovering.contains(id)) {
-                continue;
-            }
-            if (!work->attempts.empty() && work->attempts.back().state == AttemptState::Started) {
-                lead_->leases.settle(work->attempts.back().id);
-            } else {
-                recoverOne(*work);
+            // An entry whose admission was recorded without its knowledge carries nothing.
+            const bool carried = lead_->entries.contains(work->owner) && work->deadline > overdue;
+            if (!carried && !lead_->recovering.contains(id)) {
+                abandoned.push_back(id);
             }
         }
+        return abandoned;
     }
 
     void recoverOne(const Work &work)
--- a/src/services/recordedflow.cpp
+++ b/src/services/recordedflow.cpp
@@ -72,6 +72,7 @@
     command.repeatable = request_.route.repeatable;
     command.exclusive = request_.route.exclusive;
     command.owner = parts_.entry.epoch();
+    command.seen = request_.seen;
     command.at = wallTimeNow();
     command.deadline = request_.wallDeadline;
     if (keepRequest) {
--- a/src/services/workflow.h
+++ b/src/services/workflow.h
@@ -40,6 +40,7 @@
     std::optional<IdempotencyKey> key;
     TraceContext trace;
     SpanId span; // of the caller's hop
+    LogIndex seen; // by this entry, when the request arrived
     MonotonicTime deadline;
     WallTime wallDeadline;
 };
--- a/src/state/workledger.cpp
+++ b/src/state/workledger.cpp
@@ -55,6 +55,14 @@
     return work.exclusive && lives ? StateError::PreviousAttemptLives : StateError::None;
 }
 
+/// A key that was told not run may be tried again, by a request that arrived after that was
+/// decided. One that arrived before, and was held up, would make what was told untrue.
+bool mayTryAgain(const Work &known, LogIndex seen)
+{
+    return known.state == WorkState::Revoked && known.execution() == Execution::NotRun
+        && !known.cancelled && seen >= known.endedIndex;
+}
+
 } // namespace
 
 Execution Work::execution() const
@@ -73,9 +81,7 @@
 {
     if (command.key) {
         const Work *known = findKey(command.environment, *command.key);
-        const bool mayTryAgain = known != nullptr && known->state == WorkState::Revoked
-            && known->execution() == Execution::NotRun && !known->cancelled;
-        if (known != nullptr && !mayTryAgain) {
+        if (known != nullptr && !mayTryAgain(*known, command.seen)) {
             const bool same = known->digest == command.digest;
             ApplyReply reply = replyFor(known->id, same ? StateError::None : StateError::KeyReused);
             reply.repeated = same;
@@ -249,6 +255,7 @@
 {
     work.state = state;
     work.endedAt = at;
+    work.endedIndex = applying_;
     work.request.reset();
     open_.erase(work.id);
     ended_.push_back(work.id);
--- a/src/wire/calljson.h
+++ b/src/wire/calljson.h
@@ -31,8 +31,8 @@
 BOOST_DESCRIBE_STRUCT(
     DirectoryEntry, (), (number, id, service, address, incarnation, draining, gone))
 BOOST_DESCRIBE_STRUCT(BeatReply, (),
-    (stale, term, configuration, environments, directory, upstreams, grants, grantLife, departed,
-        adopt, replicas))
+    (stale, term, applied, configuration, environments, directory, upstreams, grants, grantLife,
+        departed, adopt, replicas))
 BOOST_DESCRIBE_STRUCT(ProposeCall, (), (command))
 BOOST_DESCRIBE_STRUCT(ProposeReply, (), (applied, result))
 BOOST_DESCRIBE_STRUCT(AnnounceCall, (), (announcement, farewell))
--- a/src/wire/calls.h
+++ b/src/wire/calls.h
@@ -72,6 +72,7 @@
     /// Nothing was taken in: the beat was an old one, or a full report is needed first.
     bool stale = false;
     Term term;
+    LogIndex applied; // by the leader, when it answered
     LogIndex configuration;
     std::vector<EnvironmentInForce> environments; // those newer than the call's configuration
     std::uint64_t directory = 0;
--- a/src/wire/commandjson.h
+++ b/src/wire/commandjson.h
@@ -27,8 +27,8 @@
 BOOST_DESCRIBE_STRUCT(TryEnvironment, (), (environment, version, digest, document, by))
 BOOST_DESCRIBE_STRUCT(PromoteEnvironment, (), (environment, version, digest, by))
 BOOST_DESCRIBE_STRUCT(AdmitWork, (),
-    (work, environment, service, key, digest, workClass, repeatable, exclusive, owner, at, deadline,
-        request))
+    (work, environment, service, key, digest, workClass, repeatable, exclusive, owner, seen, at,
+        deadline, request))
 BOOST_DESCRIBE_STRUCT(StartWork, (), (work, attempt, upstream, incarnation, owner))
 BOOST_DESCRIBE_STRUCT(EndAttempt, (), (work, attempt, end))
 BOOST_DESCRIBE_STRUCT(FinishWork, (), (work, attempt, answer, at))
@@ -53,7 +53,7 @@
 BOOST_DESCRIBE_STRUCT(Attempt, (), (id, upstream, incarnation, state))
 BOOST_DESCRIBE_STRUCT(Work, (),
     (id, environment, service, key, digest, workClass, repeatable, exclusive, owner, admittedAt,
-        deadline, endedAt, state, cancelled, attempts, request, answer))
+        deadline, endedAt, endedIndex, state, cancelled, attempts, request, answer))
 BOOST_DESCRIBE_STRUCT(TaskRecord, (), (state, attempt, failures, worker, incarnation))
 BOOST_DESCRIBE_STRUCT(Job, (), (spec, tasks, cancelled, endedAt))
 
--- a/support/check_models.sh
+++ b/support/check_models.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
+# Checks every model under spec/ with Spin, and that its broken variants are rejected.
 # A step whose guard does not hold ends its path there, so end states are not checked (-E).
-# Checks every model under spec/ with Spin, and that its broken variant is rejected.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 folder=$(mktemp -d)
@@ -34,5 +34,6 @@
 check election SAME_IDENTITY
 check lease ENTRY_GRANTS
 check startonce SEND_FIRST
+check startonce HELD_UP
 check promotion BLIND_WRITE
 exit "$failed"
--- a/test/live/promises.cpp
+++ b/test/live/promises.cpp
@@ -204,6 +204,8 @@
     CHECK(reply.execution() == "not_run");
     CHECK_FALSE(desk.standIn.judge().startsByKey.contains("refused"));
     desk.standIn.setFaultForAll(Fault::None);
+    REQUIRE(reply.header("Retry-After") == "1");
+    std::this_thread::sleep_for(std::chrono::seconds {1});
     const HttpReply again =
         desk.cluster.call(2, "POST", "/once", "x", taking(Milliseconds {1}, "refused"));
     CHECK(again.status == 200);
--- a/test/statemachine.cpp
+++ b/test/statemachine.cpp
@@ -60,6 +60,11 @@
         return state.apply(command, index_);
     }
 
+    LogIndex index() const
+    {
+        return index_;
+    }
+
     StateMachine state;
 
 private:
@@ -154,11 +159,28 @@
     CHECK(apply.state.findWork(WorkId {"a"})->execution() == Execution::NotRun);
     AdmitWork again = admission("b", false, false);
     again.key = IdempotencyKey {"key-a"};
+    again.seen = apply.index();
     CHECK(apply(again).work == WorkId {"b"});
     CHECK(apply(start("a", "e1-1")).error == StateError::AlreadyEnded);
     CHECK(apply(start("b", "e1-2")).error == StateError::None);
 }
 
+TEST_CASE("a submission from before a key was told not run does not run after it")
+{
+    Applier apply;
+    AdmitWork heldUp = admission("a", false, false);
+    heldUp.seen = apply.index();
+    AdmitWork resubmitted = admission("b", false, false);
+    resubmitted.key = heldUp.key;
+    apply(resubmitted);
+    apply(RevokeWork {resubmitted.work, false, {}});
+    CHECK(apply.state.findWork(resubmitted.work)->execution() == Execution::NotRun);
+    const ApplyReply late = apply(heldUp);
+    CHECK(late.work == resubmitted.work);
+    CHECK(late.repeated);
+    CHECK(apply(start("a", "e1-1")).error == StateError::NoSuchWork);
+}
+
 TEST_CASE("admitted work is not called not run while it may still start")
 {
     Applier apply;
