A spare VM takes the place of a voter that stays silent

`replace_after_ms` was read and not used. Ruled out: spares that are learners all the time (each costs the whole log for a loss a month); waiting for operators. Change: a VM with a data folder outside `voters` is a spare. After `replace_after_ms` of silence towards the leader it becomes a learner, catches up, the silent voter goes, it votes; one at a time. A voter back in time dismisses the learner; one back later is a spare. The number of voters stays. Before: the live case of a spare fails (no member but the lost ones in 20 s, run against the daemon before this change). Not done: a spare of the lost voter's zone is not preferred.

--- a/include/crocusmill/consensus.h
+++ b/include/crocusmill/consensus.h
@@ -226,6 +226,8 @@
     /// True once an entry of this leader's own term has been applied.
     [[nodiscard]] bool isReadyLeader() const;
     [[nodiscard]] bool isLeader() const;
+    /// For how long a member has not answered this leader; zero for the leader itself.
+    [[nodiscard]] Milliseconds silence(ReplicaId id) const;
     /// True when a learner has every entry that was committed.
     [[nodiscard]] bool caughtUp(ReplicaId id) const;
 
--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -217,6 +217,16 @@
     return acks[membership().quorum() - 1];
 }
 
+Milliseconds Consensus::silence(ReplicaId id) const
+{
+    const auto found = progress_.find(id);
+    if (id == self_ || found == progress_.end()) {
+        return {};
+    }
+    const MonotonicTime heard = std::max(found->second.lastAck, ledSince_);
+    return std::chrono::duration_cast<Milliseconds>(now_ - heard);
+}
+
 void Consensus::checkQuorum()
 {
     const MonotonicTime alive = std::max(quorumAck(), ledSince_);
--- a/src/services/journalservice.cpp
+++ b/src/services/journalservice.cpp
@@ -35,7 +35,7 @@
         , settings_(settings)
         , storage_(std::move(storage))
         , tick_(control)
-        , repair_(settings.peers.voters)
+        , repair_(settings.peers.voters, settings.state.value_or(StateSettings {}).replaceAfter)
     {
     }
 
@@ -181,7 +181,8 @@
     void offerReplica(const VmId &vm, ReplicaId replica, const NodeAddress &address) override
     {
         if (leads()) {
-            repair_.offer({replica, vm, address, MemberRole::Learner}, consensus_->membership());
+            repair_.offer({replica, vm, address, MemberRole::Learner}, consensus_->membership(),
+                monotonicNow());
         }
     }
 
@@ -410,7 +411,7 @@
     {
         if (!leads()) {
             repair_.forget();
-        } else if (repair_.step(*consensus_)) {
+        } else if (repair_.step(*consensus_, monotonicNow())) {
             scheduleStep();
         }
     }
--- a/src/services/replicarepair.cpp
+++ b/src/services/replicarepair.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+/// An offer that was not repeated for this long is void.
+constexpr Milliseconds offerLife {5'000};
+
 bool logChange(std::string_view event, const Member &member, const Result<LogIndex> &changed)
 {
     if (changed) {
@@ -22,48 +25,97 @@
 
 } // namespace
 
-ReplicaRepair::ReplicaRepair(const std::vector<VoterSettings> &voters)
+ReplicaRepair::ReplicaRepair(const std::vector<VoterSettings> &voters, Milliseconds replaceAfter)
     : voters_(voters)
+    , replaceAfter_(replaceAfter)
 {
 }
 
-void ReplicaRepair::offer(const Member &replica, const Membership &membership)
+void ReplicaRepair::offer(const Member &replica, const Membership &membership, MonotonicTime now)
 {
-    const bool listed = std::any_of(voters_.begin(), voters_.end(),
-        [&replica](const VoterSettings &voter) { return voter.vm == replica.vm; });
-    if (listed && replica.id != ReplicaId {} && membership.find(replica.id) == nullptr) {
-        spares_[replica.vm] = replica;
+    const Member *known = membership.find(replica.id);
+    const bool votes = known != nullptr && known->role == MemberRole::Voter;
+    if (replica.id != ReplicaId {} && !votes) {
+        offers_[replica.vm] = {replica, now};
     }
 }
 
 void ReplicaRepair::forget()
 {
-    spares_.clear();
+    offers_.clear();
+}
+
+std::optional<Member> ReplicaRepair::silentVoter(const Consensus &consensus) const
+{
+    for (const Member &member : consensus.membership().members) {
+        if (member.role == MemberRole::Voter && consensus.silence(member.id) > replaceAfter_) {
+            return member;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<ReplicaRepair::Vacancy> ReplicaRepair::vacancyFor(
+    const Member &spare, const Consensus &consensus) const
+{
+    for (const Member &member : consensus.membership().members) {
+        if (member.vm == spare.vm && member.id != spare.id) {
+            return Vacancy {member}; // its own disk, lost
+        }
+    }
+    if (consensus.membership().voterCount() < voters_.size()) {
+        return Vacancy {};
+    }
+    const std::optional<Member> silent = silentVoter(consensus);
+    return silent ? std::optional<Vacancy> {Vacancy {silent}} : std::nullopt;
 }
 
-bool ReplicaRepair::step(Consensus &consensus)
+bool ReplicaRepair::step(Consensus &consensus, MonotonicTime now)
 {
-    return std::any_of(
-        spares_.begin(), spares_.end(), [&consensus](const std::pair<const VmId, Member> &spare) {
-            return stepFor(spare.second, consensus);
+    std::erase_if(offers_, [now](const std::pair<const VmId, Offer> &known) {
+        return now - known.second.heard > offerLife;
+    });
+    return std::any_of(offers_.begin(), offers_.end(),
+        [this, &consensus](const std::pair<const VmId, Offer> &known) {
+            return stepFor(known.second.replica, consensus);
         });
 }
 
-bool ReplicaRepair::stepFor(const Member &spare, Consensus &consensus)
+bool ReplicaRepair::isBringingUp(const Consensus &consensus) const
+{
+    const std::vector<Member> &members = consensus.membership().members;
+    return std::any_of(members.begin(), members.end(), [this](const Member &member) {
+        const auto offered = offers_.find(member.vm);
+        return member.role == MemberRole::Learner && offered != offers_.end()
+            && offered->second.replica.id == member.id;
+    });
+}
+
+bool ReplicaRepair::dismiss(const Member &learner, Consensus &consensus)
+{
+    return logChange("journal.learner_dismissed", learner, consensus.removeMember(learner.id));
+}
+
+bool ReplicaRepair::stepFor(const Member &spare, Consensus &consensus) const
 {
-    const Membership &membership = consensus.membership();
-    const Member *learner = membership.find(spare.id);
-    if (learner == nullptr) {
-        return logChange("journal.learner_added", spare, consensus.addLearner(spare));
+    const Member *known = consensus.membership().find(spare.id);
+    const std::optional<Vacancy> vacancy = vacancyFor(spare, consensus);
+    if (known != nullptr && known->role == MemberRole::Voter) {
+        return false;
+    }
+    if (!vacancy) {
+        return known != nullptr && dismiss(spare, consensus);
     }
-    if (learner->role == MemberRole::Voter || !consensus.caughtUp(spare.id)) {
+    if (known == nullptr) {
+        return !isBringingUp(consensus)
+            && logChange("journal.learner_added", spare, consensus.addLearner(spare));
+    }
+    if (!consensus.caughtUp(spare.id)) {
         return false;
     }
-    for (const Member &member : membership.members) {
-        if (member.vm == spare.vm && member.id != spare.id) {
-            const Member old = member;
-            return logChange("journal.lost_replica_removed", old, consensus.removeMember(old.id));
-        }
+    if (vacancy->lost) {
+        const Member lost = *vacancy->lost;
+        return logChange("journal.lost_replica_removed", lost, consensus.removeMember(lost.id));
     }
     return logChange("journal.voter_added", spare, consensus.promoteLearner(spare.id));
 }
--- a/src/services/replicarepair.h
+++ b/src/services/replicarepair.h
@@ -1,6 +1,8 @@
-/// Brings VMs whose disk was lost back into the journal, one membership change at a time.
+/// Keeps the journal's voters complete, one membership change at a time.
 ///
-/// Used by the leader; pure but for the log records.
+/// A VM whose disk was lost comes back under a new identity and takes its own place again. Where a
+/// voter is silent for long, a spare VM with a disk takes its place; when it returns, it is a
+/// spare itself. Used by the leader; pure but for the log records.
 
 #pragma once
 
@@ -8,6 +10,7 @@
 #include <crocusmill/settings.h>
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace crocusmill
@@ -16,21 +19,41 @@
 class ReplicaRepair
 {
 public:
-    explicit ReplicaRepair(const std::vector<VoterSettings> &voters);
+    ReplicaRepair(const std::vector<VoterSettings> &voters, Milliseconds replaceAfter);
 
-    /// A VM of the voters' list beats with a replica that is no member.
-    void offer(const Member &replica, const Membership &membership);
+    /// A VM beats with a replica that is no member.
+    void offer(const Member &replica, const Membership &membership, MonotonicTime now);
     void forget();
-    /// Takes the next step for one of them: learner, out with the VM's old identity, vote. Removing
+    /// Takes the next step of a replacement: learner, out with the old identity, vote. Removing
     /// first keeps the number of live replicas that are needed at what it was. True when a change
     /// was proposed.
-    [[nodiscard]] bool step(Consensus &consensus);
+    [[nodiscard]] bool step(Consensus &consensus, MonotonicTime now);
 
 private:
-    [[nodiscard]] static bool stepFor(const Member &spare, Consensus &consensus);
-
-    std::vector<VoterSettings> voters_;
-    std::map<VmId, Member> spares_;
+    struct Offer
+    {
+        Member replica;
+        MonotonicTime heard;
+    };
+
+    /// The member whose place this replica may take, or a free place among the voters.
+    struct Vacancy
+    {
+        std::optional<Member> lost;
+    };
+
+    [[nodiscard]] std::optional<Vacancy> vacancyFor(
+        const Member &spare, const Consensus &consensus) const;
+    [[nodiscard]] std::optional<Member> silentVoter(const Consensus &consensus) const;
+    /// A learner whose VM is alive; one is brought up at a time.
+    [[nodiscard]] bool isBringingUp(const Consensus &consensus) const;
+    /// A learner that no place is left for: the voter it was to replace is back.
+    [[nodiscard]] static bool dismiss(const Member &learner, Consensus &consensus);
+    [[nodiscard]] bool stepFor(const Member &spare, Consensus &consensus) const;
+
+    std::vector<VoterSettings> voters_; // as founded; their number stays what it is
+    Milliseconds replaceAfter_;
+    std::map<VmId, Offer> offers_;
 };
 
 } // namespace crocusmill
--- a/test/live/cluster.cpp
+++ b/test/live/cluster.cpp
@@ -158,9 +158,9 @@
     settings["peers"] =
         boost::json::object {{"listen", address(listen)}, {"advertise", address(advertise)},
             {"key_file", (folder_ / keyFile).string()}, {"voters", std::move(voters)}};
-    if (vm <= options_.voters) {
-        settings["state"] = boost::json::object {
-            {"folder", folderOf(vm).string()}, {"snapshot_entries", options_.snapshotEntries}};
+    if (vm <= options_.voters || options_.spares) {
+        settings["state"] = boost::json::object {{"folder", folderOf(vm).string()},
+            {"snapshot_entries", options_.snapshotEntries}, {"replace_after_ms", 2'000}};
     }
     settings["entry"] = boost::json::object {
         {"listen", address(entry(vm))}, {"balancer_interval_ms", 200}, {"drain_limit_ms", 10'000}};
--- a/test/live/cluster.h
+++ b/test/live/cluster.h
@@ -41,6 +41,7 @@
     std::uint32_t vms = 3;
     std::uint32_t voters = 3;
     std::uint64_t snapshotEntries = 20'000;
+    bool spares = false; // the VMs that are no voters have a data folder
 };
 
 class Cluster
--- a/test/live/faults.cpp
+++ b/test/live/faults.cpp
@@ -103,6 +103,26 @@
     CHECK(desk.standIn.judge().startsByKey.at("before") == 1);
 }
 
+TEST_CASE("a spare VM takes the place of a lost one, and a second loss is survived")
+{
+    Desk desk {24700, {4, 3, 20'000, true}};
+    constexpr std::uint32_t spare = 4;
+    REQUIRE(desk.recorded(1, "before"));
+    const std::uint32_t first = other(desk.cluster.leader());
+    desk.cluster.kill(first);
+    REQUIRE(eventually([&]() {
+        const std::string members = desk.cluster.operate(spare, "GET", "/v1/members").body;
+        return members.find("\"vm-4\"") != std::string::npos
+            && members.find("\"vm-" + std::to_string(first) + "\"") == std::string::npos
+            && desk.voters(spare) == 3;
+    }));
+    const std::uint32_t second = other(first);
+    desk.cluster.kill(second);
+    CHECK(eventually([&]() { return desk.recorded(spare, "after"); }));
+    CHECK(desk.recorded(spare, "before"));
+    CHECK(desk.standIn.judge().startsByKey.at("before") == 1);
+}
+
 TEST_CASE("an entry that is silently cut off refuses truthfully and takes no work")
 {
     Desk desk {23100};
--- /dev/null
+++ b/test/replicarepair.cpp
@@ -0,0 +1,127 @@
+/// Voters that are lost for good, spares that take their places.
+
+#include "src/services/replicarepair.h"
+
+#include "test/fakes/network.h"
+
+#include <catch2/catch.hpp>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+constexpr Milliseconds replaceAfter {2'000};
+constexpr std::size_t voterCount = 3;
+
+Member spareOf(std::uint64_t id, const std::string &vm)
+{
+    return {ReplicaId {id}, VmId {vm}, {}, MemberRole::Learner};
+}
+
+std::vector<VoterSettings> founders()
+{
+    std::vector<VoterSettings> voters;
+    for (std::size_t i = 1; i <= voterCount; ++i) {
+        voters.push_back({VmId {"vm-" + std::to_string(i)}, {}});
+    }
+    return voters;
+}
+
+/// Three voters under one leader's repair, with the VMs that beat beside them.
+struct Cell
+{
+    Cell()
+    {
+        network.runFor(Milliseconds {2'000});
+        REQUIRE(network.leader() != nullptr);
+    }
+
+    ReplicaId someFollower()
+    {
+        const ReplicaId leader = network.leader()->self();
+        return ReplicaId {leader == ReplicaId {1} ? 2U : 1U};
+    }
+
+    void run(Milliseconds time)
+    {
+        constexpr Milliseconds step {100};
+        for (Milliseconds passed {0}; passed < time; passed += step) {
+            network.runFor(step);
+            Consensus *leader = network.leader();
+            if (leader == nullptr) {
+                repair.forget();
+                continue;
+            }
+            for (const Member &spare : beating) {
+                repair.offer(spare, leader->membership(), network.now());
+            }
+            static_cast<void>(repair.step(*leader, network.now()));
+            network.settle();
+        }
+    }
+
+    const Membership &membership()
+    {
+        return network.leader()->membership();
+    }
+
+    fakes::Network network {voterCount, 7};
+    ReplicaRepair repair {founders(), replaceAfter};
+    std::vector<Member> beating;
+};
+
+} // namespace
+
+TEST_CASE("a spare takes the place of a voter that stays silent, and another loss is survived")
+{
+    Cell cell;
+    const Member spare = spareOf(10, "vm-10");
+    cell.network.bootBlank(spare.id);
+    cell.beating = {spare};
+    const ReplicaId lost = cell.someFollower();
+    cell.network.crash(lost);
+    cell.run(Milliseconds {1'500});
+    CHECK(cell.membership().find(spare.id) == nullptr);
+    cell.run(Milliseconds {3'000});
+    CHECK(cell.membership().isVoter(spare.id));
+    CHECK(cell.membership().find(lost) == nullptr);
+    CHECK(cell.membership().voterCount() == voterCount);
+
+    const ReplicaId second =
+        cell.someFollower() == lost ? ReplicaId {voterCount} : cell.someFollower();
+    cell.network.crash(second);
+    cell.run(Milliseconds {4'000});
+    REQUIRE(cell.network.leader() != nullptr);
+    REQUIRE(cell.network.leader()->propose("after both losses").has_value());
+    const LogIndex last = cell.network.leader()->lastIndex();
+    cell.run(Milliseconds {500});
+    CHECK(cell.network.leader()->commitIndex() >= last);
+}
+
+TEST_CASE("a voter whose place was taken comes back as a spare, one that came back in time stays")
+{
+    Cell cell;
+    const Member spare = spareOf(10, "vm-10");
+    cell.network.bootBlank(spare.id);
+    cell.beating = {spare};
+    const ReplicaId away = cell.someFollower();
+    cell.network.crash(away);
+    cell.run(Milliseconds {1'000});
+    cell.network.boot(away);
+    cell.run(Milliseconds {4'000});
+    CHECK(cell.membership().isVoter(away));
+    CHECK(cell.membership().find(spare.id) == nullptr);
+
+    cell.network.crash(away);
+    cell.run(Milliseconds {5'000});
+    REQUIRE(cell.membership().isVoter(spare.id));
+    cell.network.boot(away);
+    cell.beating = {spare, spareOf(away.value(), "vm-" + std::to_string(away.value()))};
+    cell.run(Milliseconds {3'000});
+    CHECK(cell.membership().voterCount() == voterCount);
+    CHECK_FALSE(cell.membership().isVoter(away));
+}
+
+} // namespace crocusmill
