--- a/bench/decisions.cpp
+++ b/bench/decisions.cpp
@@ -232,12 +232,12 @@
     std::filesystem::remove_all(folder);
 }
 
-/// A snapshot of N records of ended work.
-void takeSnapshot(benchmark::State &state)
+/// N records of work with a key each.
+StateMachine machineWithWork(std::int64_t records)
 {
     StateMachine machine;
     LogIndex index;
-    for (std::int64_t i = 0; i < state.range(0); ++i) {
+    for (std::int64_t i = 0; i < records; ++i) {
         index = next(index);
         AdmitWork admit;
         admit.work = WorkId {"vm-1.0123456789abcdef-w" + std::to_string(i)};
@@ -245,6 +245,22 @@
         admit.digest = Digest {std::string(64, 'a')};
         machine.apply(admit, index);
     }
+    return machine;
+}
+
+/// What a snapshot of N records costs the control thread.
+void takeImage(benchmark::State &state)
+{
+    const StateMachine machine = machineWithWork(state.range(0));
+    for (const auto _ : state) {
+        benchmark::DoNotOptimize(machine.image());
+    }
+}
+
+/// What the whole of it costs.
+void takeSnapshot(benchmark::State &state)
+{
+    const StateMachine machine = machineWithWork(state.range(0));
     std::size_t bytes = 0;
     for (const auto _ : state) {
         bytes = machine.snapshot().size();
@@ -263,7 +279,8 @@
 BENCHMARK(admitOne)->Arg(50)->Arg(500);
 BENCHMARK(beatOnce)->Arg(50)->Arg(500);
 BENCHMARK(commitGroup)->Arg(1)->Arg(16)->Arg(128)->Arg(1'024)->UseRealTime();
-BENCHMARK(takeSnapshot)->Arg(1'000)->Arg(20'000)->Unit(benchmark::kMillisecond);
+BENCHMARK(takeImage)->Arg(2'000)->Arg(20'000)->Arg(100'000)->Unit(benchmark::kMillisecond);
+BENCHMARK(takeSnapshot)->Arg(1'000)->Arg(20'000)->Arg(100'000)->Unit(benchmark::kMillisecond);
 
 } // namespace crocusmill
 
--- a/include/crocusmill/statemachine.h
+++ b/include/crocusmill/statemachine.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <crocusmill/commands.h>
+#include <crocusmill/copyonwrite.h>
 #include <crocusmill/error.h>
 
 #include <deque>
@@ -92,7 +93,8 @@
     SubmitJob spec;
     std::vector<TaskRecord> tasks;
     bool cancelled = false;
-    WallTime endedAt; // meaningful once no task waits or is placed
+    WallTime endedAt; // this and the next: meaningful once no task waits or is placed
+    LogIndex endedIndex;
     // Derived from tasks: how many are in these states.
     std::uint32_t waiting = 0;
     std::uint32_t placed = 0;
@@ -100,6 +102,20 @@
     [[nodiscard]] bool hasEnded() const;
 };
 
+/// The state at one moment, shared with the machine that goes on. Any thread may encode it.
+struct StateImage
+{
+    LogIndex configurationIndex;
+    std::vector<EnvironmentState> environments;
+    std::vector<std::shared_ptr<const Work>> work;
+    std::vector<std::shared_ptr<const Job>> jobs;
+    std::vector<WorkerId> quarantined;
+    std::vector<UpstreamId> drainedUpstreams;
+    std::vector<WorkerId> drainedWorkers;
+};
+
+[[nodiscard]] std::string encodeImage(const StateImage &image);
+
 class StateMachine
 {
 public:
@@ -116,11 +132,10 @@
     [[nodiscard]] const Work *findWork(const WorkId &id) const;
     [[nodiscard]] const Work *findKey(
         const EnvironmentName &environment, const IdempotencyKey &key) const;
-    [[nodiscard]] const std::map<WorkId, Work> &work() const;
     /// Work that has been admitted and has not ended.
     [[nodiscard]] const std::set<WorkId> &openWork() const;
     [[nodiscard]] const Work *findAttempt(const AttemptId &attempt) const;
-    [[nodiscard]] const std::map<JobId, Job> &jobs() const;
+    [[nodiscard]] const std::map<JobId, CopyOnWrite<Job>> &jobs() const;
     /// Jobs that have a task to be placed.
     [[nodiscard]] const std::set<JobId> &waitingJobs() const;
     [[nodiscard]] const std::set<WorkerId> &quarantined() const;
@@ -129,6 +144,8 @@
     [[nodiscard]] std::uint64_t reservedCores(
         const EnvironmentName &environment, const TeamName &team) const;
 
+    /// Copies pointers to records and no records, so that it is quick.
+    [[nodiscard]] StateImage image() const;
     [[nodiscard]] std::string snapshot() const;
     /// Replaces the whole state. Errors: CodecError::Malformed; the state is then unchanged.
     [[nodiscard]] Result<void> restore(std::string_view snapshot);
@@ -160,6 +177,8 @@
     /// Moves a task to another state; a job without open tasks ends.
     void setTask(Job &job, TaskRecord &task, TaskState state);
     void endJob(Job &job, WallTime at);
+    void indexWork(const Work &work);
+    void indexKey(const Work &work);
     void rebuildJobs();
     void rebuildWork();
     void cacheDocument(const EnvironmentState &environment);
@@ -168,8 +187,8 @@
     LogIndex applying_; // index of the command being applied
     LogIndex configurationIndex_;
     std::map<EnvironmentName, EnvironmentState> environments_;
-    std::map<WorkId, Work> work_;
-    std::map<JobId, Job> jobs_;
+    std::map<WorkId, CopyOnWrite<Work>> work_;
+    std::map<JobId, CopyOnWrite<Job>> jobs_;
     std::set<WorkerId> quarantined_;
     std::set<UpstreamId> drainedUpstreams_;
     std::set<WorkerId> drainedWorkers_;
--- a/include/crocusmill/storage.h
+++ b/include/crocusmill/storage.h
@@ -43,6 +43,9 @@
     /// one with the same or a higher index. Errors: CannotWrite, CannotSync.
     [[nodiscard]] virtual Result<void> append(
         const std::optional<HardState> &hard, const std::vector<LogEntry> &entries) = 0;
+    /// Writes a snapshot aside and syncs it. May run on another thread, beside append(); the next
+    /// saveSnapshot() of the same snapshot only puts it in force. Errors: CannotWrite, CannotSync.
+    [[nodiscard]] virtual Result<void> prepareSnapshot(const Snapshot &snapshot) = 0;
     /// Stores a snapshot and the log that follows it, then drops what both cover.
     /// Errors: CannotWrite, CannotSync.
     [[nodiscard]] virtual Result<void> saveSnapshot(
--- a/src/services/cell.cpp
+++ b/src/services/cell.cpp
@@ -86,8 +86,8 @@
     if (std::exchange(tookOver_, true)) {
         return;
     }
-    for (const std::pair<const JobId, Job> &known : state_.jobs()) {
-        const Job &job = known.second;
+    for (const std::pair<const JobId, CopyOnWrite<Job>> &known : state_.jobs()) {
+        const Job &job = *known.second;
         for (std::uint32_t task = 0; task < job.tasks.size() && job.placed > 0; ++task) {
             const TaskRecord &record = job.tasks[task];
             if (record.state != TaskState::Placed) {
@@ -152,10 +152,10 @@
 bool Cell::mayRun(const WorkerId &worker, const TaskReport &report) const
 {
     const auto found = state_.jobs().find(report.job);
-    if (found == state_.jobs().end() || report.task >= found->second.tasks.size()) {
+    if (found == state_.jobs().end() || report.task >= found->second->tasks.size()) {
         return false;
     }
-    const TaskRecord &task = found->second.tasks[report.task];
+    const TaskRecord &task = found->second->tasks[report.task];
     return task.state == TaskState::Placed && task.attempt == report.attempt
         && task.worker == worker;
 }
@@ -174,7 +174,7 @@
         return;
     }
     const bool stops =
-        !current || preempted_.contains(key) || state_.jobs().at(report.job).cancelled;
+        !current || preempted_.contains(key) || state_.jobs().at(report.job)->cancelled;
     if (stops) {
         TaskOrder stop;
         stop.job = report.job;
@@ -183,7 +183,7 @@
         reply.stop.push_back(stop);
         return;
     }
-    reply.renew.push_back(orderFor(state_.jobs().at(report.job), report.task));
+    reply.renew.push_back(orderFor(*state_.jobs().at(report.job), report.task));
 }
 
 void Cell::takeAbsent(
@@ -200,11 +200,11 @@
             || !isOfIncarnation(key, announcement.incarnation)) {
             continue;
         }
-        if (job->second.cancelled || preempted_.contains(key)) {
-            const bool cancelled = job->second.cancelled;
+        if (job->second->cancelled || preempted_.contains(key)) {
+            const bool cancelled = job->second->cancelled;
             stopped.emplace_back(key, cancelled ? TaskEnd::Lost : TaskEnd::Preempted);
         } else {
-            reply.start.push_back(orderFor(job->second, key.second));
+            reply.start.push_back(orderFor(*job->second, key.second));
         }
     }
     for (const std::pair<TaskKey, TaskEnd> &task : stopped) {
@@ -219,7 +219,7 @@
     if (job == state_.jobs().end()) {
         return false;
     }
-    const TaskRecord &task = job->second.tasks[key.second];
+    const TaskRecord &task = job->second->tasks[key.second];
     return task.state == TaskState::Placed && task.incarnation == incarnation;
 }
 
@@ -320,7 +320,7 @@
     const std::set<JobId> waiting = state_.waitingJobs();
     for (const bool urgent : {true, false}) {
         for (const JobId &id : waiting) {
-            const Job &job = state_.jobs().at(id);
+            const Job &job = *state_.jobs().at(id);
             if (job.spec.urgent == urgent && !job.cancelled && !placing_.contains(id)) {
                 placeJob(id, job);
             }
@@ -369,7 +369,7 @@
 bool Cell::isPreemptible(const TaskKey &key, const Reservation &held) const
 {
     const auto job = state_.jobs().find(key.first);
-    return job != state_.jobs().end() && !job->second.spec.urgent
+    return job != state_.jobs().end() && !job->second->spec.urgent
         && held.jobClass == JobClass::Batch && !ending_.contains(key) && !preempted_.contains(key);
 }
 
--- a/src/services/journalservice.cpp
+++ b/src/services/journalservice.cpp
@@ -80,6 +80,7 @@
         if (founding_) {
             founding_->stop();
         }
+        snapshotThread_.join();
         storageThread_.join();
         failProposals(PeerError::Stopping);
     }
@@ -292,9 +293,8 @@
             apply(entry);
         }
         dropStaleProposals();
-        if (!storing_) {
-            maybeSnapshot();
-        }
+        putInForce();
+        maybeSnapshot();
     }
 
     void fail(const std::error_code &error)
@@ -361,12 +361,40 @@
     {
         const std::uint64_t since =
             consensus_->appliedIndex().value() - consensus_->snapshotIndex().value();
-        if (since < settings_.state->snapshotEntries) {
+        if (snapshotting_ || since < settings_.state->snapshotEntries) {
             return;
         }
+        snapshotting_ = true;
         const LogIndex index = consensus_->appliedIndex();
-        const SnapshotPtr snapshot = std::make_shared<const Snapshot>(Snapshot {
-            index, consensus_->termAt(index), consensus_->membershipAt(index), state_.snapshot()});
+        const std::shared_ptr<Snapshot> snapshot = std::make_shared<Snapshot>(
+            Snapshot {index, consensus_->termAt(index), consensus_->membershipAt(index), {}});
+        const std::shared_ptr<const StateImage> image =
+            std::make_shared<const StateImage>(state_.image());
+        asio::post(snapshotThread_, [this, snapshot, image]() {
+            snapshot->data = encodeImage(*image);
+            const Result<void> prepared = storage_->prepareSnapshot(*snapshot);
+            asio::post(control_, [this, snapshot, prepared]() {
+                if (!prepared) {
+                    fail(prepared.error());
+                    return;
+                }
+                prepared_ = snapshot;
+                putInForce();
+            });
+        });
+    }
+
+    /// The snapshot that was prepared meanwhile, once the storage thread is free.
+    void putInForce()
+    {
+        if (!prepared_ || storing_ || failed_) {
+            return;
+        }
+        snapshotting_ = false;
+        const SnapshotPtr snapshot = std::exchange(prepared_, nullptr);
+        if (snapshot->index <= consensus_->snapshotIndex()) {
+            return; // a newer one came from the leader
+        }
         consensus_->compact(snapshot);
         storing_ = true;
         store(
@@ -429,6 +457,10 @@
     // Invariant: at most one piece of work is on the storage thread.
     bool storing_ = false;
     asio::thread_pool storageThread_ {1};
+    // Encodes and writes snapshots, which takes long, beside the storage of entries.
+    asio::thread_pool snapshotThread_ {1};
+    bool snapshotting_ = false;
+    SnapshotPtr prepared_; // written aside, not in force yet
     // Invariant: every handler is called once.
     std::map<LogIndex, Proposal> proposals_;
     asio::steady_timer tick_;
--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -267,8 +267,8 @@
         JobReply reply;
         const auto found = journal_->state().jobs().find(call.job);
         if (found != journal_->state().jobs().end()) {
-            reply.job = found->second;
-            const PlacementObstacle obstacle = lead_->cell.feasible(found->second.spec);
+            reply.job = *found->second;
+            const PlacementObstacle obstacle = lead_->cell.feasible(found->second->spec);
             reply.waitsFor = std::string {text(obstacle)};
         }
         done(Reply {reply});
--- a/src/services/reports.cpp
+++ b/src/services/reports.cpp
@@ -85,8 +85,8 @@
 std::string describeJobs(const StateMachine &state)
 {
     boost::json::array list;
-    for (const std::pair<const JobId, Job> &known : state.jobs()) {
-        const Job &job = known.second;
+    for (const std::pair<const JobId, CopyOnWrite<Job>> &known : state.jobs()) {
+        const Job &job = *known.second;
         std::map<TaskState, std::size_t> counts;
         for (const TaskRecord &task : job.tasks) {
             ++counts[task.state];
--- a/src/state/codec.cpp
+++ b/src/state/codec.cpp
@@ -10,30 +10,45 @@
 namespace
 {
 
-/// The whole state as it stands in a snapshot.
-struct StateImage
+/// A snapshot as text: what is small, then the records one after the other.
+struct SnapshotHead
 {
     LogIndex configurationIndex;
     std::vector<EnvironmentState> environments;
-    std::vector<Work> work;
-    std::vector<WorkId> ended;
-    std::vector<Job> jobs;
-    std::vector<JobId> endedJobs;
     std::vector<WorkerId> quarantined;
     std::vector<UpstreamId> drainedUpstreams;
     std::vector<WorkerId> drainedWorkers;
 };
 
-BOOST_DESCRIBE_STRUCT(StateImage, (),
-    (configurationIndex, environments, work, ended, jobs, endedJobs, quarantined, drainedUpstreams,
-        drainedWorkers))
+struct SnapshotText
+{
+    SnapshotHead head;
+    std::vector<Work> work;
+    std::vector<Job> jobs;
+};
+
+BOOST_DESCRIBE_STRUCT(SnapshotHead, (),
+    (configurationIndex, environments, quarantined, drainedUpstreams, drainedWorkers))
+BOOST_DESCRIBE_STRUCT(SnapshotText, (), (head, work, jobs))
 
-template <typename Map> std::vector<typename Map::mapped_type> valuesOf(const Map &map)
+/// Record by record, as a tree of all of them would be many times the text's size.
+template <typename T>
+void appendRecords(std::string &text, const std::vector<std::shared_ptr<const T>> &records)
 {
-    std::vector<typename Map::mapped_type> values;
+    text += '[';
+    for (const std::shared_ptr<const T> &record : records) {
+        text += &record == &records.front() ? "" : ",";
+        text += encodeStruct(*record);
+    }
+    text += ']';
+}
+
+template <typename Map> auto sharedValuesOf(const Map &map)
+{
+    std::vector<decltype(map.begin()->second.share())> values;
     values.reserve(map.size());
     for (const typename Map::value_type &pair : map) {
-        values.push_back(pair.second);
+        values.push_back(pair.second.share());
     }
     return values;
 }
@@ -59,43 +74,59 @@
     return apply(command.value(), index);
 }
 
-std::string StateMachine::snapshot() const
+std::string encodeImage(const StateImage &image)
+{
+    const SnapshotHead head {image.configurationIndex, image.environments, image.quarantined,
+        image.drainedUpstreams, image.drainedWorkers};
+    std::string text = "{\"head\":" + encodeStruct(head) + ",\"work\":";
+    appendRecords(text, image.work);
+    text += ",\"jobs\":";
+    appendRecords(text, image.jobs);
+    text += '}';
+    return text;
+}
+
+StateImage StateMachine::image() const
 {
     StateImage image;
     image.configurationIndex = configurationIndex_;
-    image.environments = valuesOf(environments_);
-    image.work = valuesOf(work_);
-    image.ended.assign(ended_.begin(), ended_.end());
-    image.jobs = valuesOf(jobs_);
-    image.endedJobs.assign(endedJobs_.begin(), endedJobs_.end());
+    for (const std::pair<const EnvironmentName, EnvironmentState> &known : environments_) {
+        image.environments.push_back(known.second);
+    }
+    image.work = sharedValuesOf(work_);
+    image.jobs = sharedValuesOf(jobs_);
     image.quarantined.assign(quarantined_.begin(), quarantined_.end());
     image.drainedUpstreams.assign(drainedUpstreams_.begin(), drainedUpstreams_.end());
     image.drainedWorkers.assign(drainedWorkers_.begin(), drainedWorkers_.end());
-    return encodeStruct(image);
+    return image;
+}
+
+std::string StateMachine::snapshot() const
+{
+    return encodeImage(image());
 }
 
 Result<void> StateMachine::restore(std::string_view snapshot)
 {
-    BOOST_OUTCOME_TRY(StateImage image, decodeStruct<StateImage>(snapshot));
+    BOOST_OUTCOME_TRY(SnapshotText text, decodeStruct<SnapshotText>(snapshot));
     StateMachine fresh;
-    fresh.configurationIndex_ = image.configurationIndex;
-    for (EnvironmentState &environment : image.environments) {
+    SnapshotHead &head = text.head;
+    fresh.configurationIndex_ = head.configurationIndex;
+    for (EnvironmentState &environment : head.environments) {
         const EnvironmentName name = environment.name;
         fresh.environments_[name] = std::move(environment);
     }
-    for (Work &work : image.work) {
+    for (Work &work : text.work) {
         const WorkId id = work.id;
-        fresh.work_[id] = std::move(work);
+        fresh.work_.emplace(id, CopyOnWrite<Work> {std::move(work)});
     }
-    fresh.ended_.assign(image.ended.begin(), image.ended.end());
-    for (Job &job : image.jobs) {
+    for (Job &job : text.jobs) {
         const JobId id = job.spec.job;
-        fresh.jobs_[id] = std::move(job);
+        fresh.jobs_.emplace(id, CopyOnWrite<Job> {std::move(job)});
     }
-    fresh.endedJobs_.assign(image.endedJobs.begin(), image.endedJobs.end());
-    fresh.quarantined_.insert(image.quarantined.begin(), image.quarantined.end());
-    fresh.drainedUpstreams_.insert(image.drainedUpstreams.begin(), image.drainedUpstreams.end());
-    fresh.drainedWorkers_.insert(image.drainedWorkers.begin(), image.drainedWorkers.end());
+    fresh.quarantined_.insert(head.quarantined.begin(), head.quarantined.end());
+    fresh.drainedUpstreams_.insert(head.drainedUpstreams.begin(), head.drainedUpstreams.end());
+    fresh.drainedWorkers_.insert(head.drainedWorkers.begin(), head.drainedWorkers.end());
     fresh.rebuildIndices();
     *this = std::move(fresh);
     return success();
@@ -103,7 +134,6 @@
 
 void StateMachine::rebuildIndices()
 {
-    documents_.clear();
     for (const std::pair<const EnvironmentName, EnvironmentState> &known : environments_) {
         cacheDocument(known.second);
     }
@@ -113,22 +143,39 @@
 
 void StateMachine::rebuildWork()
 {
-    keys_.clear();
-    attempts_.clear();
-    open_.clear();
-    for (const std::pair<const WorkId, Work> &known : work_) {
-        const Work &work = known.second;
-        if (work.key
-            && !(work.state == WorkState::Revoked && findKey(work.environment, *work.key))) {
-            keys_[{work.environment, *work.key}] = work.id;
+    std::map<LogIndex, WorkId> ended;
+    for (const std::pair<const WorkId, CopyOnWrite<Work>> &known : work_) {
+        const Work &work = *known.second;
+        indexWork(work);
+        if (!open_.contains(work.id)) {
+            ended[work.endedIndex] = work.id;
         }
-        if (work.state == WorkState::Admitted || work.state == WorkState::Started) {
-            open_.insert(work.id);
-        }
-        for (const Attempt &attempt : work.attempts) {
-            if (attempt.state == AttemptState::Started) {
-                attempts_[attempt.id] = work.id;
-            }
+    }
+    // A key belongs to what was admitted last under it: what is open, else what ended last.
+    for (const std::pair<const LogIndex, WorkId> &known : ended) {
+        ended_.push_back(known.second);
+        indexKey(*findWork(known.second));
+    }
+    for (const WorkId &id : open_) {
+        indexKey(*findWork(id));
+    }
+}
+
+void StateMachine::indexKey(const Work &work)
+{
+    if (work.key) {
+        keys_[{work.environment, *work.key}] = work.id;
+    }
+}
+
+void StateMachine::indexWork(const Work &work)
+{
+    if (work.state == WorkState::Admitted || work.state == WorkState::Started) {
+        open_.insert(work.id);
+    }
+    for (const Attempt &attempt : work.attempts) {
+        if (attempt.state == AttemptState::Started) {
+            attempts_[attempt.id] = work.id;
         }
     }
 }
--- a/src/state/joblist.cpp
+++ b/src/state/joblist.cpp
@@ -53,7 +53,7 @@
     job.spec = command;
     job.tasks.resize(command.tasks);
     job.waiting = command.tasks;
-    jobs_.emplace(command.job, std::move(job));
+    jobs_.emplace(command.job, CopyOnWrite<Job> {std::move(job)});
     waitingJobs_.insert(command.job);
     return {};
 }
@@ -64,12 +64,13 @@
     if (found == jobs_.end()) {
         return replyWith(StateError::NoSuchJob);
     }
-    Job &job = found->second;
+    const Job &known = *found->second;
     const bool placeable = std::all_of(command.placements.begin(), command.placements.end(),
-        [&job](const TaskPlacement &placement) { return isPlaceable(job, placement); });
-    if (job.cancelled || !placeable) {
+        [&known](const TaskPlacement &placement) { return isPlaceable(known, placement); });
+    if (known.cancelled || !placeable) {
         return replyWith(StateError::WrongPlacement);
     }
+    Job &job = found->second.edit();
     std::uint64_t &reserved = reservedMilliCores_[{job.spec.environment, job.spec.team}];
     const std::uint64_t wanted = command.placements.size() * job.spec.size.milliCores;
     const Document *document = production(job.spec.environment);
@@ -95,7 +96,7 @@
     if (found == jobs_.end()) {
         return replyWith(StateError::NoSuchJob);
     }
-    Job &job = found->second;
+    Job &job = found->second.edit();
     if (command.task >= job.tasks.size()) {
         return replyWith(StateError::NoSuchAttempt);
     }
@@ -129,7 +130,7 @@
     if (found == jobs_.end()) {
         return replyWith(StateError::NoSuchJob);
     }
-    Job &job = found->second;
+    Job &job = found->second.edit();
     job.cancelled = true;
     if (job.hasEnded()) {
         return {};
@@ -197,6 +198,7 @@
 void StateMachine::endJob(Job &job, WallTime at)
 {
     job.endedAt = at;
+    job.endedIndex = applying_;
     endedJobs_.push_back(job.spec.job);
 }
 
@@ -204,7 +206,7 @@
 {
     while (!endedJobs_.empty()) {
         const auto found = jobs_.find(endedJobs_.front());
-        if (found->second.endedAt >= before) {
+        if (found->second->endedAt >= before) {
             return;
         }
         jobs_.erase(found);
@@ -214,12 +216,9 @@
 
 void StateMachine::rebuildJobs()
 {
-    reservedMilliCores_.clear();
-    waitingJobs_.clear();
-    for (std::pair<const JobId, Job> &known : jobs_) {
-        Job &job = known.second;
-        job.waiting = 0;
-        job.placed = 0;
+    std::map<LogIndex, JobId> ended;
+    for (std::pair<const JobId, CopyOnWrite<Job>> &known : jobs_) {
+        Job &job = known.second.edit();
         for (const TaskRecord &task : job.tasks) {
             job.waiting += task.state == TaskState::Waiting ? 1 : 0;
             job.placed += task.state == TaskState::Placed ? 1 : 0;
@@ -229,6 +228,12 @@
         if (job.waiting > 0) {
             waitingJobs_.insert(known.first);
         }
+        if (job.hasEnded()) {
+            ended[job.endedIndex] = known.first;
+        }
+    }
+    for (const std::pair<const LogIndex, JobId> &known : ended) {
+        endedJobs_.push_back(known.second);
     }
 }
 
@@ -247,7 +252,7 @@
     return drainedWorkers_;
 }
 
-const std::map<JobId, Job> &StateMachine::jobs() const
+const std::map<JobId, CopyOnWrite<Job>> &StateMachine::jobs() const
 {
     return jobs_;
 }
--- a/src/state/workledger.cpp
+++ b/src/state/workledger.cpp
@@ -106,11 +106,10 @@
     work.admittedAt = command.at;
     work.deadline = command.deadline;
     work.request = command.request;
-    if (work.key) {
-        keys_[{work.environment, *work.key}] = work.id;
-    }
+    indexKey(work);
     open_.insert(work.id);
-    work_.emplace(work.id, std::move(work));
+    const WorkId id = work.id;
+    work_.emplace(id, CopyOnWrite<Work> {std::move(work)});
     return replyFor(command.work);
 }
 
@@ -226,7 +225,7 @@
     while (!ended_.empty()) {
         const auto found = work_.find(ended_.front());
         if (found != work_.end()) {
-            const Work &work = found->second;
+            const Work &work = *found->second;
             if (work.endedAt >= before) {
                 break;
             }
@@ -269,13 +268,13 @@
 Work *StateMachine::mutableWork(const WorkId &id)
 {
     const auto found = work_.find(id);
-    return found == work_.end() ? nullptr : &found->second;
+    return found == work_.end() ? nullptr : &found->second.edit();
 }
 
 const Work *StateMachine::findWork(const WorkId &id) const
 {
     const auto found = work_.find(id);
-    return found == work_.end() ? nullptr : &found->second;
+    return found == work_.end() ? nullptr : &*found->second;
 }
 
 const Work *StateMachine::findKey(
@@ -285,11 +284,6 @@
     return found == keys_.end() ? nullptr : findWork(found->second);
 }
 
-const std::map<WorkId, Work> &StateMachine::work() const
-{
-    return work_;
-}
-
 const std::set<WorkId> &StateMachine::openWork() const
 {
     return open_;
--- a/src/storage/filestorage.cpp
+++ b/src/storage/filestorage.cpp
@@ -7,6 +7,7 @@
 #include <crocusmill/storage.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cstring>
 
 namespace crocusmill
@@ -38,6 +39,7 @@
 
 constexpr const char *identityName = "identity";
 constexpr const char *snapshotName = "snapshot";
+constexpr const char *preparedPrefix = "prepared-";
 constexpr const char *lockName = "lock";
 constexpr const char *journalPrefix = "journal-";
 
@@ -96,6 +98,7 @@
         sequence_ = sequences.back();
         BOOST_OUTCOME_TRY(replayJournal(state));
         dropOlderJournals(sequences);
+        dropPrepared();
         return state;
     }
 
@@ -113,10 +116,22 @@
         return journal_.sync();
     }
 
+    Result<void> prepareSnapshot(const Snapshot &snapshot) override
+    {
+        const fs::path path = preparedPath(snapshot.index);
+        BOOST_OUTCOME_TRY(writeFile(path, encodeSnapshot(snapshot)));
+        prepared_ = snapshot.index;
+        return success();
+    }
+
     Result<void> saveSnapshot(const Snapshot &snapshot, const HardState &hard,
         const std::vector<LogEntry> &after) override
     {
-        BOOST_OUTCOME_TRY(replaceFile(folder_ / snapshotName, encodeSnapshot(snapshot)));
+        if (prepared_ != snapshot.index) {
+            BOOST_OUTCOME_TRY(prepareSnapshot(snapshot));
+        }
+        prepared_ = LogIndex {};
+        BOOST_OUTCOME_TRY(moveFile(preparedPath(snapshot.index), folder_ / snapshotName));
         const std::uint64_t covered = sequence_;
         BOOST_OUTCOME_TRY(startJournal(hard, after));
         dropOlderJournals({covered});
@@ -129,6 +144,11 @@
         return folder_ / (journalPrefix + std::to_string(sequence));
     }
 
+    fs::path preparedPath(LogIndex index) const
+    {
+        return folder_ / (preparedPrefix + std::to_string(index.value()));
+    }
+
     std::vector<std::uint64_t> journalSequences() const
     {
         std::vector<std::uint64_t> sequences;
@@ -174,6 +194,21 @@
         return success();
     }
 
+    /// What was written aside and never put in force.
+    void dropPrepared() const
+    {
+        std::vector<fs::path> prepared;
+        for (const fs::directory_entry &file : fs::directory_iterator {folder_}) {
+            if (file.path().filename().string().starts_with(preparedPrefix)) {
+                prepared.push_back(file.path());
+            }
+        }
+        for (const fs::path &path : prepared) {
+            std::error_code ignored; // dropped at the next start instead
+            fs::remove(path, ignored);
+        }
+    }
+
     void dropOlderJournals(const std::vector<std::uint64_t> &sequences) const
     {
         for (const std::uint64_t sequence : sequences) {
@@ -189,6 +224,8 @@
     ReplicaId identity_;
     std::uint64_t sequence_ = 0;
     File journal_;
+    // The newest snapshot written aside; zero when there is none.
+    std::atomic<LogIndex> prepared_ {LogIndex {}};
 };
 
 /// Writes the identity last: a folder without one never served, and whatever else is in it may go.
--- a/src/storage/syncfile.cpp
+++ b/src/storage/syncfile.cpp
@@ -24,23 +24,31 @@
 
 } // namespace
 
-Result<void> replaceFile(const fs::path &path, std::string_view content)
+Result<void> writeFile(const fs::path &path, std::string_view content)
 {
-    const fs::path aside = path.string() + ".new";
-    {
-        const File file {aside, O_WRONLY | O_CREAT | O_TRUNC};
-        if (!file.isOpen()) {
-            return StorageError::CannotWrite;
-        }
-        BOOST_OUTCOME_TRY(file.write(content));
-        BOOST_OUTCOME_TRY(file.sync());
+    const File file {path, O_WRONLY | O_CREAT | O_TRUNC};
+    if (!file.isOpen()) {
+        return StorageError::CannotWrite;
     }
+    BOOST_OUTCOME_TRY(file.write(content));
+    return file.sync();
+}
+
+Result<void> moveFile(const fs::path &from, const fs::path &to)
+{
     std::error_code error;
-    fs::rename(aside, path, error);
+    fs::rename(from, to, error);
     if (error) {
         return StorageError::CannotWrite;
     }
-    return syncFolder(path.parent_path());
+    return syncFolder(to.parent_path());
+}
+
+Result<void> replaceFile(const fs::path &path, std::string_view content)
+{
+    const fs::path aside = path.string() + ".new";
+    BOOST_OUTCOME_TRY(writeFile(aside, content));
+    return moveFile(aside, path);
 }
 
 Result<std::string> readFile(const fs::path &path)
--- a/src/storage/syncfile.h
+++ b/src/storage/syncfile.h
@@ -95,6 +95,12 @@
     int descriptor_ = -1;
 };
 
+/// Writes and syncs a file, which may be torn until then. Errors: CannotWrite, CannotSync.
+[[nodiscard]] Result<void> writeFile(const std::filesystem::path &path, std::string_view content);
+/// Puts a written file in another's place and syncs the folder. Errors: CannotWrite, CannotSync.
+[[nodiscard]] Result<void> moveFile(
+    const std::filesystem::path &from, const std::filesystem::path &to);
+
 /// Writes aside, syncs, renames and syncs the folder: the old content or the new, never a mix.
 /// Errors: CannotWrite, CannotSync.
 [[nodiscard]] Result<void> replaceFile(const std::filesystem::path &path, std::string_view content);
--- a/src/wire/commandjson.h
+++ b/src/wire/commandjson.h
@@ -55,6 +55,6 @@
     (id, environment, service, key, digest, workClass, repeatable, exclusive, owner, admittedAt,
         deadline, endedAt, endedIndex, state, cancelled, attempts, request, answer))
 BOOST_DESCRIBE_STRUCT(TaskRecord, (), (state, attempt, failures, worker, incarnation))
-BOOST_DESCRIBE_STRUCT(Job, (), (spec, tasks, cancelled, endedAt))
+BOOST_DESCRIBE_STRUCT(Job, (), (spec, tasks, cancelled, endedAt, endedIndex))
 
 } // namespace crocusmill
--- a/test/cell.cpp
+++ b/test/cell.cpp
@@ -69,7 +69,7 @@
 
     const TaskRecord &task(const std::string &job) const
     {
-        return state.jobs().at(JobId {job}).tasks.front();
+        return state.jobs().at(JobId {job})->tasks.front();
     }
 
     TimeSettings times;
--- a/test/statemachine.cpp
+++ b/test/statemachine.cpp
@@ -181,6 +181,39 @@
     CHECK(apply(start("a", "e1-1")).error == StateError::NoSuchWork);
 }
 
+TEST_CASE("a restored state knows which work a key belongs to")
+{
+    Applier apply;
+    for (const char *id : {"b", "a"}) {
+        AdmitWork admit = admission(id, false, false);
+        admit.key = IdempotencyKey {"k"};
+        admit.seen = apply.index();
+        apply(admit);
+        apply(RevokeWork {admit.work, false, {}});
+    }
+    StateMachine restored;
+    REQUIRE(restored.restore(apply.state.snapshot()).has_value());
+    const EnvironmentName environment {"rocola"};
+    CHECK(apply.state.findKey(environment, IdempotencyKey {"k"})->id == WorkId {"a"});
+    CHECK(restored.findKey(environment, IdempotencyKey {"k"})->id == WorkId {"a"});
+}
+
+TEST_CASE("an image stays as it was while the state goes on")
+{
+    Applier apply;
+    apply(admission("a", false, false));
+    SubmitJob job;
+    job.job = JobId {"j"};
+    apply(job);
+    const StateImage image = apply.state.image();
+    const std::string before = apply.state.snapshot();
+    apply(start("a", "e1-1"));
+    apply(PlaceTasks {job.job, {{0, 1, WorkerId {"w"}, Incarnation {"i"}}}});
+    apply(admission("b", false, false));
+    CHECK(encodeImage(image) == before);
+    CHECK(apply.state.snapshot() != before);
+}
+
 TEST_CASE("admitted work is not called not run while it may still start")
 {
     Applier apply;
--- a/test/storage.cpp
+++ b/test/storage.cpp
@@ -123,6 +123,37 @@
     CHECK(blank->identity() == ReplicaId {8});
 }
 
+TEST_CASE("a snapshot written aside counts only once it was put in force")
+{
+    const Folder folder;
+    fill(folder);
+    const Snapshot snapshot {LogIndex {2}, Term {2}, {}, "state"};
+    {
+        const std::unique_ptr<Storage> storage =
+            std::move(openFileStorage(folder.path(), ReplicaId {7}).value());
+        REQUIRE(storage->load().has_value());
+        REQUIRE(storage->prepareSnapshot(snapshot).has_value());
+        REQUIRE(storage->append(std::nullopt, {entry(4, 2, "d")}).has_value());
+    }
+    const Result<StoredState> before = reload(folder);
+    REQUIRE(before.has_value());
+    CHECK(before.value().snapshot == nullptr);
+    CHECK(before.value().entries.size() == 4);
+    {
+        const std::unique_ptr<Storage> storage =
+            std::move(openFileStorage(folder.path(), ReplicaId {7}).value());
+        const StoredState stored = storage->load().value();
+        REQUIRE(storage->prepareSnapshot(snapshot).has_value());
+        const std::vector<LogEntry> after {stored.entries.begin() + 2, stored.entries.end()};
+        REQUIRE(storage->saveSnapshot(snapshot, stored.hard, after).has_value());
+    }
+    const Result<StoredState> saved = reload(folder);
+    REQUIRE(saved.has_value());
+    REQUIRE(saved.value().snapshot != nullptr);
+    CHECK(saved.value().snapshot->data == "state");
+    CHECK(saved.value().entries.size() == 2);
+}
+
 TEST_CASE("a second process does not get the folder")
 {
     const Folder folder;
