--- /dev/null
+++ b/test/wire.cpp
@@ -0,0 +1,144 @@
+/// What peers send, with bytes changed, cut off or made up: refused or read, never more.
+
+#include "src/net/consensuswire.h"
+#include "src/wire/calls.h"
+
+#include <capnp/serialize.h>
+#include <catch2/catch.hpp>
+#include <kj/exception.h>
+
+#include <random>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+using Words = std::vector<capnp::word>;
+
+Words encode(const Message &message)
+{
+    capnp::MallocMessageBuilder builder;
+    writeMessage(message, builder.initRoot<rpc::ConsensusMessage>());
+    const kj::Array<capnp::word> flat = capnp::messageToFlatArray(builder);
+    return {flat.begin(), flat.end()};
+}
+
+enum class Reading { Read, Refused, NotFramed };
+
+/// As the connection reads it: what is not framed well is refused by the library's own type.
+Reading read(const Words &words, Message &message)
+{
+    try {
+        capnp::FlatArrayMessageReader reader {
+            kj::ArrayPtr<const capnp::word> {words.data(), words.size()}};
+        Result<Message> decoded = readMessage(reader.getRoot<rpc::ConsensusMessage>());
+        if (!decoded) {
+            return Reading::Refused;
+        }
+        message = std::move(decoded.value());
+        return Reading::Read;
+    } catch (const kj::Exception &) {
+        return Reading::NotFramed;
+    }
+}
+
+std::vector<Message> someMessages()
+{
+    const Membership membership {
+        {{ReplicaId {1}, VmId {"vm-1"}, {"127.0.0.1", 1}, MemberRole::Voter}}};
+    const SnapshotPtr snapshot =
+        std::make_shared<const Snapshot>(Snapshot {LogIndex {5}, Term {2}, membership, "state"});
+    AppendRequest append;
+    append.previousIndex = LogIndex {5};
+    append.previousTerm = Term {2};
+    append.entries = {{LogIndex {6}, Term {2}, EntryKind::Command, "payload"},
+        {LogIndex {7}, Term {2}, EntryKind::Noop, {}}};
+    const std::vector<MessageBody> bodies {VoteRequest {true, LogIndex {7}, Term {2}},
+        VoteReply {false, true}, append, AppendReply {true, LogIndex {7}, LogIndex {5}, 1},
+        InstallRequest {snapshot, 1}};
+    std::vector<Message> messages;
+    for (const MessageBody &body : bodies) {
+        messages.push_back({ReplicaId {1}, ReplicaId {2}, Term {2}, body});
+    }
+    return messages;
+}
+
+/// Entries that were read follow each other, whatever the bytes were.
+bool isInOrder(const Message &message)
+{
+    const AppendRequest *append = std::get_if<AppendRequest>(&message.body);
+    LogIndex expected = append == nullptr ? LogIndex {} : next(append->previousIndex);
+    for (std::size_t i = 0; append != nullptr && i < append->entries.size(); ++i) {
+        if (append->entries[i].index != expected) {
+            return false;
+        }
+        expected = next(expected);
+    }
+    return true;
+}
+
+} // namespace
+
+TEST_CASE("a message is read as it was written")
+{
+    for (const Message &message : someMessages()) {
+        Message read;
+        REQUIRE(crocusmill::read(encode(message), read) == Reading::Read);
+        CHECK(read.body.index() == message.body.index());
+        CHECK(read.term == message.term);
+    }
+}
+
+TEST_CASE("every single-bit flip and every cut of a message is refused or read in order")
+{
+    for (const Message &message : someMessages()) {
+        const Words whole = encode(message);
+        for (std::size_t length = 0; length < whole.size(); ++length) {
+            Message decoded;
+            const Words cut {whole.begin(), whole.begin() + static_cast<std::ptrdiff_t>(length)};
+            CHECK(read(cut, decoded) != Reading::Read);
+        }
+        const std::size_t bits = whole.size() * sizeof(capnp::word) * 8;
+        for (std::size_t bit = 0; bit < bits; ++bit) {
+            Words flipped = whole;
+            unsigned char *bytes = reinterpret_cast<unsigned char *>(flipped.data());
+            bytes[bit / 8] = static_cast<unsigned char>(bytes[bit / 8] ^ (1U << (bit % 8)));
+            Message decoded;
+            if (read(flipped, decoded) == Reading::Read) {
+                CHECK(isInOrder(decoded));
+            }
+        }
+    }
+}
+
+TEST_CASE("calls and replies with changed bytes are refused with a type or read")
+{
+    BeatCall beat;
+    beat.vm = VmId {"vm-1"};
+    beat.held.push_back({UpstreamId {"u"}, SlotCount {3}});
+    const std::string call = encodeCall(Call {beat});
+    const std::string reply = encodeReply(Reply {BeatReply {}});
+    REQUIRE(decodeCall(call).has_value());
+    REQUIRE(decodeReply(reply).has_value());
+    std::mt19937_64 random {1};
+    constexpr int trials = 20'000;
+    for (int trial = 0; trial < trials; ++trial) {
+        std::string changed = trial % 2 == 0 ? call : reply;
+        for (std::uint64_t change = 0; change <= random() % 3; ++change) {
+            changed[random() % changed.size()] = static_cast<char>(random());
+        }
+        changed.resize(random() % 4 == 0 ? random() % changed.size() : changed.size());
+        const Result<Call> asCall = decodeCall(changed);
+        const Result<Reply> asReply = decodeReply(changed);
+        if (!asCall) {
+            CHECK(std::string {asCall.error().category().name()} == "codec");
+        }
+        if (!asReply) {
+            CHECK(std::string {asReply.error().category().name()} == "codec");
+        }
+    }
+}
+
+} // namespace crocusmill
