Entries together keep no more connections than an upstream takes

Cause: an upstream states how many connections it takes (about 60), and entries did not look at it. In use they are bounded by slots, but idle ones stay behind wherever the slots had been: 8 for each traffic thread, up to 144 at nine entries of two threads. Ruled out: connections in use (one a slot, never above the slots held). Change: what an upstream takes beyond its slots is shared out as idle connections, the same for each entry and thread; the leader tells the number of entries with each beat. A thread closes its oldest idle ones above its share.

--- a/bench/standin.cpp
+++ b/bench/standin.cpp
@@ -161,7 +161,7 @@
     const boost::json::object body {{"starts", judgement.starts},
         {"over_slots", judgement.overSlots}, {"overlaps", judgement.overlaps},
         {"starts_after_drain", judgement.startsAfterDrain}, {"most_at_once", judgement.mostAtOnce},
-        {"most_starts_for_a_key", mostStarts}};
+        {"most_connections", judgement.mostConnections}, {"most_starts_for_a_key", mostStarts}};
     return boost::json::serialize(body);
 }
 
@@ -195,6 +195,17 @@
 }
 
 asio::awaitable<void> StandIn::serve(Upstream &upstream, Tcp::socket socket)
+{
+    {
+        const std::lock_guard<std::mutex> lock {mutex_};
+        judgement_.mostConnections = std::max(judgement_.mostConnections, ++upstream.connections);
+    }
+    co_await serveRequests(upstream, std::move(socket));
+    const std::lock_guard<std::mutex> lock {mutex_};
+    --upstream.connections;
+}
+
+asio::awaitable<void> StandIn::serveRequests(Upstream &upstream, Tcp::socket socket)
 {
     beast::tcp_stream stream {std::move(socket)};
     beast::flat_buffer buffer;
--- a/bench/standin.h
+++ b/bench/standin.h
@@ -57,6 +57,7 @@
     std::uint64_t overlaps = 0; // exclusive work that ran twice at once
     std::uint64_t startsAfterDrain = 0; // later than the allowed time after it said so
     std::uint32_t mostAtOnce = 0;
+    std::uint32_t mostConnections = 0; // of one upstream, at once
     std::map<std::string, std::uint32_t> startsByKey;
     std::set<std::string> startedAttempts;
 };
@@ -92,6 +93,7 @@
 
     asio::awaitable<void> accept(Upstream &upstream);
     asio::awaitable<void> serve(Upstream &upstream, Tcp::socket socket);
+    asio::awaitable<void> serveRequests(Upstream &upstream, Tcp::socket socket);
     asio::awaitable<bool> answerOne(
         Upstream &upstream, beast::tcp_stream &stream, const HttpRequest &request);
     asio::awaitable<bool> awaitLease(Upstream &upstream, const AttemptId &attempt);
--- a/bench/standinupstream.h
+++ b/bench/standinupstream.h
@@ -31,6 +31,7 @@
     Tcp::acceptor acceptor;
     std::set<AttemptId> running; // and those that wait for a lease
     std::uint32_t runningCount = 0;
+    std::uint32_t connections = 0; // open now
     std::map<AttemptId, std::uint32_t> finished;
     std::set<AttemptId> refused;
     std::map<AttemptId, MonotonicTime> leases;
--- a/src/net/forwarder.cpp
+++ b/src/net/forwarder.cpp
@@ -2,6 +2,8 @@
 
 #include "src/net/forwarder.h"
 
+#include <algorithm>
+#include <limits>
 #include <sys/socket.h>
 
 namespace crocusmill
@@ -74,10 +76,14 @@
     ForwardOutcome outcome = co_await exchange(*connection, request);
     const bool whole = outcome.kind == ForwardKind::Answered || outcome.kind == ForwardKind::NotRun;
     std::deque<ConnectionPtr> &idle = idle_[request.to];
-    if (whole && outcome.response.keep_alive() && connection->buffer.size() == 0
-        && idle.size() < limits_.idlePerUpstream) {
+    const std::size_t most = std::min<std::size_t>(
+        limits_.idlePerUpstream, request.keep.value_or(std::numeric_limits<std::uint32_t>::max()));
+    if (whole && outcome.response.keep_alive() && connection->buffer.size() == 0) {
         idle.push_back(std::move(connection));
     }
+    while (idle.size() > most) {
+        idle.pop_front();
+    }
     co_return outcome;
 }
 
--- a/src/net/forwarder.h
+++ b/src/net/forwarder.h
@@ -31,6 +31,8 @@
     AttemptId attempt;
     /// A kept connection may turn out to be closed when the request has been written, which
     /// proves nothing; work that may not run twice gets a fresh one.
+    /// Idle connections to this address that may be kept afterwards; none: the forwarder's limit.
+    std::optional<std::uint32_t> keep;
     bool fresh = false;
     HttpRequest request;
     MonotonicTime deadline;
--- a/src/services/directory.cpp
+++ b/src/services/directory.cpp
@@ -2,6 +2,8 @@
 
 #include "src/services/directory.h"
 
+#include <algorithm>
+
 namespace crocusmill
 {
 
@@ -14,7 +16,18 @@
 {
     return before.environment == now.environment && before.stage == now.stage
         && before.service == now.service && before.address == now.address
-        && before.incarnation == now.incarnation && before.mode == now.mode;
+        && before.incarnation == now.incarnation && before.mode == now.mode
+        && before.connections == now.connections && before.slots == now.slots;
+}
+
+/// Each slot in use has a connection of its own; the rest may be kept for later.
+std::optional<std::uint32_t> spareConnections(const Announcement &announcement)
+{
+    if (announcement.connections == 0) {
+        return std::nullopt;
+    }
+    const std::uint32_t used = std::min(announcement.connections, announcement.slots.value());
+    return announcement.connections - used;
 }
 
 } // namespace
@@ -92,7 +105,8 @@
         changed.push_back({record.number, known.first,
             {announcement.environment, announcement.stage, announcement.service},
             announcement.address, announcement.incarnation,
-            announcement.mode == UpstreamMode::Draining, record.gone});
+            announcement.mode == UpstreamMode::Draining, record.gone,
+            spareConnections(announcement)});
     }
     return changed;
 }
--- a/src/services/entryservice.cpp
+++ b/src/services/entryservice.cpp
@@ -213,7 +213,16 @@
             attempt, Sent {assignment.request, assignment.upstream, upstream.incarnation, false});
         answer(assignment.request,
             Dispatch {assignment.request, attempt, assignment.upstream, upstream.incarnation,
-                upstream.address});
+                upstream.address, keptConnections(upstream)});
+    }
+
+    /// This entry's share, for one traffic thread.
+    std::optional<std::uint32_t> keptConnections(const DirectoryEntry &upstream) const
+    {
+        if (!upstream.spareConnections) {
+            return std::nullopt;
+        }
+        return *upstream.spareConnections / std::max(entries_, 1U) / settings_.entry.threads;
     }
 
     void refuse(const std::vector<Refusal> &refused)
@@ -331,6 +340,7 @@
         slots_.granted(reply.grants, asked, reply.grantLife, monotonicNow());
         takeEnvironments(reply);
         confirmed_ = asked;
+        entries_ = reply.entries;
         seen_.store(std::max(seen_.load(), reply.applied.value()));
         for (const AttemptId &attempt : reply.departed) {
             const auto found = sent_.find(attempt);
@@ -410,6 +420,7 @@
     MonotonicTime confirmed_ {};
     LogIndex configuration_;
     std::uint64_t directoryVersion_ = 0;
+    std::uint32_t entries_ = 1; // that share the upstreams' connections with this one
     std::map<UpstreamId, DirectoryEntry> directory_;
     QuietUpstreams quiet_;
     std::uint64_t nextAttempt_ = 1;
--- a/src/services/interfaces.h
+++ b/src/services/interfaces.h
@@ -93,6 +93,8 @@
     UpstreamId upstream;
     Incarnation incarnation;
     NodeAddress address;
+    /// Idle connections to this upstream that a traffic thread may keep; none: its own limit.
+    std::optional<std::uint32_t> keptConnections;
 };
 
 using DispatchResult = std::variant<Dispatch, Refusal>;
--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -126,6 +126,7 @@
         lead_->ledger.reported(call.epoch, call.full, call.held, call.demand, now);
         reply.grants = lead_->ledger.grant(call.epoch, now);
         reply.grantLife = settings_.times.slots.grantLife;
+        reply.entries = static_cast<std::uint32_t>(lead_->entries.size());
         reply.applied = journal_->consensus()->appliedIndex();
         reply.configuration = journal_->state().configurationIndex();
         reply.environments = environmentsSince(journal_->state(), call.configuration);
--- a/src/wire/calljson.h
+++ b/src/wire/calljson.h
@@ -28,11 +28,11 @@
     (vm, epoch, address, zone, replica, number, draining, full, configuration, directory, held,
         demand, heard, lingering))
 BOOST_DESCRIBE_STRUCT(EnvironmentInForce, (), (name, stage, version, digest, document))
-BOOST_DESCRIBE_STRUCT(
-    DirectoryEntry, (), (number, id, service, address, incarnation, draining, gone))
+BOOST_DESCRIBE_STRUCT(DirectoryEntry, (),
+    (number, id, service, address, incarnation, draining, gone, spareConnections))
 BOOST_DESCRIBE_STRUCT(BeatReply, (),
-    (stale, term, applied, configuration, environments, directory, upstreams, grants, grantLife,
-        departed, adopt, replicas))
+    (stale, term, applied, entries, configuration, environments, directory, upstreams, grants,
+        grantLife, departed, adopt, replicas))
 BOOST_DESCRIBE_STRUCT(ProposeCall, (), (command))
 BOOST_DESCRIBE_STRUCT(ProposeReply, (), (applied, result))
 BOOST_DESCRIBE_STRUCT(AnnounceCall, (), (announcement, farewell))
--- a/src/wire/calls.h
+++ b/src/wire/calls.h
@@ -64,6 +64,8 @@
     Incarnation incarnation;
     bool draining = false;
     bool gone = false;
+    /// Connections beyond its slots that all entries together may keep; none: not stated.
+    std::optional<std::uint32_t> spareConnections;
 };
 
 struct BeatReply
@@ -73,6 +75,7 @@
     bool stale = false;
     Term term;
     LogIndex applied; // by the leader, when it answered
+    std::uint32_t entries = 0; // that share the upstreams' connections
     LogIndex configuration;
     std::vector<EnvironmentInForce> environments; // those newer than the call's configuration
     std::uint64_t directory = 0;
--- a/test/live/faults.cpp
+++ b/test/live/faults.cpp
@@ -318,6 +318,37 @@
     CHECK(cluster.call(4, "POST", "/quotes", "x").status == 404);
 }
 
+TEST_CASE("entries together keep no more connections than an upstream takes")
+{
+    Cluster cluster {20900};
+    constexpr std::uint32_t budget = 23;
+    standin::Options options = cluster.standInOptions(1);
+    options.connections = budget;
+    StandIn standIn {options};
+    REQUIRE(standIn.start().has_value());
+    cluster.startAll();
+    REQUIRE(cluster.promote(1, rocolaDocument(1), 1).status == 200);
+    REQUIRE(eventually([&]() { return cluster.call(1, "POST", "/quotes", "x").status == 200; }));
+    // The slots follow the demand from one entry to the next, and the connections that they used
+    // are left idle behind them.
+    for (int turn = 0; turn < 6; ++turn) {
+        const std::uint32_t vm = 1 + static_cast<std::uint32_t>(turn) % 3;
+        constexpr std::size_t burst = 48;
+        std::vector<std::future<HttpReply>> replies;
+        replies.reserve(burst);
+        for (std::size_t i = 0; i < burst; ++i) {
+            replies.push_back(std::async(std::launch::async, [&cluster, vm]() {
+                return cluster.call(
+                    vm, "POST", "/quotes", "x", {{std::string {standin::serviceHeader}, "100000"}});
+            }));
+        }
+        for (std::future<HttpReply> &reply : replies) {
+            CHECK(reply.get().status == 200);
+        }
+    }
+    CHECK(standIn.judge().mostConnections <= budget);
+}
+
 TEST_CASE("an operator's drain of a quiet upstream takes effect and outlasts the leader")
 {
     Desk desk {24800};
