What is decided to be over gets no lease before the record of it

Cause, by reading the leader's decisions for what happens between a proposal and its record: - an exclusive attempt whose lease had run out was proposed as lost, and got a new lease when its upstream was heard before the record; the next attempt then ran beside it. The same for a task of a worker that is heard again; - an announcement of another process of the upstream ended an exclusive attempt at once, also when it was an earlier process's, late on its way; - a placement whose record stayed undecided for 5 s was decided again: one task was started on two workers ("a/1" on both), and the room of the first was lost sight of. An undecided end of a task lost its room in the same way. Ruled out: the state machine (it refuses the second placement), the lease of a new leader (it waits a whole one).

--- a/include/crocusmill/leases.h
+++ b/include/crocusmill/leases.h
@@ -48,19 +48,22 @@
 
     /// Attempts being settled whose upstream is gone: over once no lease can be held any more.
     [[nodiscard]] std::vector<Command> upstreamsGone(
-        const std::set<UpstreamId> &alive, const StateMachine &state, MonotonicTime now) const;
+        const std::set<UpstreamId> &alive, const StateMachine &state, MonotonicTime now);
 
 private:
     void grantLeases(const Announcement &announcement, const StateMachine &state, MonotonicTime now,
         Verdict &verdict);
-    static void settleAttempt(const Announcement &announcement, const Work &work,
-        const Attempt &attempt, Verdict &verdict, WallTime wallNow);
+    void settleAttempt(const Announcement &announcement, const Work &work, const Attempt &attempt,
+        Verdict &verdict, MonotonicTime now, WallTime wallNow);
+    [[nodiscard]] EndAttempt giveUp(const Work &work, const AttemptId &attempt);
     [[nodiscard]] bool leaseOver(const AttemptId &attempt, MonotonicTime now) const;
 
     LeaseTimes times_;
     MonotonicTime graceEnds_;
     std::map<AttemptId, MonotonicTime> leasedUntil_;
     std::set<AttemptId> settling_;
+    // Invariant: those of settling_ whose loss is decided, recorded or not; no lease any more.
+    std::set<AttemptId> givenUp_;
 };
 
 } // namespace crocusmill
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -6,7 +6,8 @@
  * EndAttempt, start = StartWork in StateMachine, deliver = Flow::send, run = the upstream's side
  * of docs/API.md.
  *
- * Broken variant: -DENTRY_GRANTS lets a delivered request run without a lease.
+ * Broken variants: -DENTRY_GRANTS lets a delivered request run without a lease; -DLATE_RECORD goes
+ * on granting between the decision that the attempt is over and its record in the journal.
  */
 
 #define LEASE 3
@@ -15,6 +16,7 @@
 
 byte now;
 byte current = 1;        /* the attempt that the journal names: 1 on upstream 0, 2 on upstream 1 */
+bool decided;            /* the end of attempt 1 is proposed, and recorded at any later time */
 byte leaderUntil;        /* the leader takes the lease of the current attempt to run until then */
 byte upstreamUntil[2];   /* each upstream's own reckoning */
 byte asked[2];           /* when it sent the announcement under way; 255: none */
@@ -30,6 +32,12 @@
 #endif
 }
 
+#ifdef LATE_RECORD
+#define MAY_GRANT(u) (current == u + 1)
+#else
+#define MAY_GRANT(u) (current == u + 1 && !(decided && u == 0))
+#endif
+
 active proctype world()
 {
     byte u;
@@ -47,7 +55,7 @@
     :: atomic { select(u : 0 .. 1); asked[u] == 255 -> asked[u] = now }
     :: atomic { /* the reply: a lease only for the attempt that the journal names */
         select(u : 0 .. 1);
-        asked[u] != 255 && current == u + 1 ->
+        asked[u] != 255 && MAY_GRANT(u) ->
             leaderUntil = now + LEASE + MARGIN;
             upstreamUntil[u] = asked[u] + LEASE;
             asked[u] = 255
@@ -55,7 +63,7 @@
     :: atomic { /* the reply was lost, though the leader counts the lease */
         select(u : 0 .. 1);
         asked[u] != 255 ->
-            if :: current == u + 1 -> leaderUntil = now + LEASE + MARGIN :: else fi;
+            if :: MAY_GRANT(u) -> leaderUntil = now + LEASE + MARGIN :: else fi;
             asked[u] = 255
     }
     :: atomic { /* the entry may be frozen, so a request may come at any time */
@@ -67,8 +75,11 @@
         mayRun(u) -> running[u] = true;
         assert(!(running[0] && running[1]))
     }
-    :: atomic { /* the first attempt is over: the second may start */
-        current == 1 && now >= leaderUntil && leaderUntil > 0 -> current = 2
+    :: atomic { /* the first attempt is over */
+        !decided && now >= leaderUntil && leaderUntil > 0 -> decided = true
+    }
+    :: atomic { /* recorded: the second may start */
+        decided && current == 1 -> current = 2
     }
     :: break
     od
--- a/src/services/cell.cpp
+++ b/src/services/cell.cpp
@@ -1,11 +1,7 @@
-/// Scheduling of the cell.
+/// Scheduling of the cell: what is placed where, and what makes room.
 
 #include "src/services/cell.h"
 
-#include "src/net/log.h"
-
-#include <boost/json.hpp>
-
 #include <algorithm>
 
 namespace crocusmill
@@ -16,10 +12,6 @@
 
 /// Tasks placed by one record of the journal.
 constexpr std::size_t placementsPerRecord = 256;
-/// A worker that fails this many tasks in a row gets no more.
-constexpr std::uint32_t failuresToQuarantine = 5;
-/// How long a lost worker stays in the lists of operators.
-constexpr std::chrono::minutes lostWorkerShown {10};
 
 PlacementJob asPlacementJob(const JobId &id, const Job &job)
 {
@@ -59,21 +51,6 @@
 {
 }
 
-void Cell::updateWorker(const WorkerRecord &record)
-{
-    const WorkerAnnouncement &announcement = record.announcement;
-    PlacementWorker worker;
-    worker.id = announcement.id;
-    worker.zone = announcement.zone;
-    worker.rack = announcement.rack;
-    worker.incarnation = announcement.incarnation;
-    worker.capacity = announcement.capacity;
-    worker.open = !record.lost && !announcement.draining
-        && !state_.drainedWorkers().contains(announcement.id)
-        && !state_.quarantined().contains(announcement.id);
-    placement_.setWorker(worker);
-}
-
 void Cell::reserve(const TaskKey &key, const Reservation &reservation)
 {
     reservations_[key] = reservation;
@@ -104,210 +81,6 @@
     }
 }
 
-TaskOrder Cell::orderFor(const Job &job, std::uint32_t task) const
-{
-    return {job.spec.job, task, job.tasks[task].attempt, job.spec.size, job.spec.command,
-        times_.exclusiveLease};
-}
-
-void Cell::judge(WorkerRecord &record, TaskReportState state)
-{
-    if (state == TaskReportState::Succeeded) {
-        record.failuresInRow = 0;
-        return;
-    }
-    if (++record.failuresInRow != failuresToQuarantine) {
-        return;
-    }
-    logWarning("cell.worker_quarantined", {{"worker", record.announcement.id.value()}});
-    propose_(QuarantineWorker {record.announcement.id, true},
-        [this, id = record.announcement.id](
-            const Result<ApplyReply> & /*reply*/) { updateWorker(workers_[id]); });
-}
-
-WorkerReply Cell::announced(
-    const WorkerAnnouncement &announcement, MonotonicTime now, WallTime wall)
-{
-    wall_ = wall;
-    WorkerRecord &record = workers_[announcement.id];
-    if (record.announcement.incarnation != announcement.incarnation) {
-        record.incarnationSince = now;
-        record.settled = false;
-        record.failuresInRow = 0;
-    }
-    record.announcement = announcement;
-    record.heard = now;
-    record.lost = false;
-    updateWorker(record);
-    WorkerReply reply;
-    std::set<TaskKey> reported;
-    for (const TaskReport &report : announcement.tasks) {
-        reported.insert({report.job, report.task});
-        takeReport(record, report, reply);
-    }
-    takeAbsent(announcement, reported, reply);
-    return reply;
-}
-
-bool Cell::mayRun(const WorkerId &worker, const TaskReport &report) const
-{
-    const auto found = state_.jobs().find(report.job);
-    if (found == state_.jobs().end() || report.task >= found->second->tasks.size()) {
-        return false;
-    }
-    const TaskRecord &task = found->second->tasks[report.task];
-    return task.state == TaskState::Placed && task.attempt == report.attempt
-        && task.worker == worker;
-}
-
-void Cell::takeReport(WorkerRecord &record, const TaskReport &report, WorkerReply &reply)
-{
-    const TaskKey key {report.job, report.task};
-    const bool current = mayRun(record.announcement.id, report);
-    if (current && report.state != TaskReportState::Running) {
-        if (!ending_.contains(key)) {
-            judge(record, report.state);
-        }
-        const bool succeeded = report.state == TaskReportState::Succeeded;
-        endTask(report.job, report.task, report.attempt,
-            succeeded ? TaskEnd::Succeeded : TaskEnd::Failed);
-        return;
-    }
-    const bool stops =
-        !current || preempted_.contains(key) || state_.jobs().at(report.job)->cancelled;
-    if (stops) {
-        TaskOrder stop;
-        stop.job = report.job;
-        stop.task = report.task;
-        stop.attempt = report.attempt;
-        reply.stop.push_back(stop);
-        return;
-    }
-    reply.renew.push_back(orderFor(*state_.jobs().at(report.job), report.task));
-}
-
-void Cell::takeAbsent(
-    const WorkerAnnouncement &announcement, const std::set<TaskKey> &reported, WorkerReply &reply)
-{
-    const auto held = tasksOn_.find(announcement.id);
-    if (held == tasksOn_.end()) {
-        return;
-    }
-    std::vector<std::pair<TaskKey, TaskEnd>> stopped;
-    for (const TaskKey &key : held->second) {
-        const auto job = state_.jobs().find(key.first);
-        if (reported.contains(key) || job == state_.jobs().end()
-            || !isOfIncarnation(key, announcement.incarnation)) {
-            continue;
-        }
-        if (job->second->cancelled || preempted_.contains(key)) {
-            const bool cancelled = job->second->cancelled;
-            stopped.emplace_back(key, cancelled ? TaskEnd::Lost : TaskEnd::Preempted);
-        } else {
-            reply.start.push_back(orderFor(*job->second, key.second));
-        }
-    }
-    for (const std::pair<TaskKey, TaskEnd> &task : stopped) {
-        endTask(
-            task.first.first, task.first.second, reservations_.at(task.first).attempt, task.second);
-    }
-}
-
-bool Cell::isOfIncarnation(const TaskKey &key, const Incarnation &incarnation) const
-{
-    const auto job = state_.jobs().find(key.first);
-    if (job == state_.jobs().end()) {
-        return false;
-    }
-    const TaskRecord &task = job->second->tasks[key.second];
-    return task.state == TaskState::Placed && task.incarnation == incarnation;
-}
-
-void Cell::endTask(const JobId &job, std::uint32_t task, std::uint32_t attempt, TaskEnd end)
-{
-    const TaskKey key {job, task};
-    if (!ending_.insert(key).second) {
-        return;
-    }
-    propose_(EndTask {job, task, attempt, end, wall_},
-        [this, key, attempt](const Result<ApplyReply> &reply) {
-            ending_.erase(key);
-            if (reply) {
-                releaseReservation(key, attempt);
-            }
-        });
-}
-
-void Cell::releaseReservation(const TaskKey &key, std::uint32_t attempt)
-{
-    const auto found = reservations_.find(key);
-    if (found == reservations_.end() || found->second.attempt != attempt) {
-        return;
-    }
-    const Reservation &held = found->second;
-    placement_.release(held.worker, key.first, held.jobClass, held.size);
-    const auto neighbours = tasksOn_.find(held.worker);
-    neighbours->second.erase(key);
-    if (neighbours->second.empty()) {
-        tasksOn_.erase(neighbours);
-    }
-    reservations_.erase(found);
-    preempted_.erase(key);
-}
-
-bool Cell::hasGone(const WorkerRecord &record, const TaskKey &key) const
-{
-    return record.lost || !isOfIncarnation(key, record.announcement.incarnation);
-}
-
-void Cell::endGone(WorkerRecord &record, MonotonicTime now)
-{
-    // An announcement of an earlier process may arrive late, so that another incarnation alone
-    // does not prove the tasks gone; their leases, which nobody renewed since, do.
-    const bool leasesOver = record.lost || now - record.incarnationSince > leaseLife();
-    if (record.settled || !leasesOver) {
-        return;
-    }
-    record.settled = !record.lost;
-    const auto held = tasksOn_.find(record.announcement.id);
-    if (held == tasksOn_.end()) {
-        return;
-    }
-    const std::set<TaskKey> tasks = held->second;
-    for (const TaskKey &key : tasks) {
-        if (placing_.contains(key.first)) {
-            record.settled = false; // what becomes of its placement is not known yet
-        } else if (hasGone(record, key)) {
-            record.settled = false; // until the end is recorded
-            endTask(key.first, key.second, reservations_.at(key).attempt, TaskEnd::Lost);
-        }
-    }
-}
-
-/// Leases are counted by the worker from its announcement, by this side from the reply.
-Milliseconds Cell::leaseLife() const
-{
-    return times_.exclusiveLease + times_.slots.driftMargin;
-}
-
-void Cell::sweepWorkers(MonotonicTime now)
-{
-    for (std::pair<const WorkerId, WorkerRecord> &known : workers_) {
-        WorkerRecord &record = known.second;
-        if (now - record.heard > leaseLife() && !record.lost) {
-            record.lost = true;
-            record.settled = false;
-            placement_.removeWorker(known.first);
-            logWarning("cell.worker_lost", {{"worker", known.first.value()}});
-        }
-        endGone(record, now);
-    }
-    std::erase_if(workers_, [this, now](const std::pair<const WorkerId, WorkerRecord> &known) {
-        return known.second.lost && now - known.second.heard > lostWorkerShown
-            && !tasksOn_.contains(known.first);
-    });
-}
-
 void Cell::sweep(MonotonicTime now, WallTime wall)
 {
     if (now < graceEnds_) {
@@ -315,6 +88,7 @@
     }
     wall_ = wall;
     takeOver();
+    proposeAgain();
     sweepWorkers(now);
     // A placement may be applied at once, which changes the set of jobs that wait.
     const std::set<JobId> waiting = state_.waitingJobs();
@@ -354,18 +128,46 @@
         reserve({id, chosen.task}, {chosen.worker, attempt, job.spec.jobClass, job.spec.size});
     }
     placing_.insert(id);
-    propose_(command, [this, id, command](const Result<ApplyReply> &reply) {
-        placing_.erase(id);
-        const bool refused = reply && reply.value().error != StateError::None;
-        if (!refused) {
-            return; // unknown outcomes are settled by takeOver() of the next leader
+    proposePlacement(command);
+}
+
+void Cell::proposePlacement(const PlaceTasks &command)
+{
+    propose_(command, [this, command](const Result<ApplyReply> &reply) {
+        if (!reply) {
+            undecidedPlacements_.push_back(command);
+            return;
         }
+        placing_.erase(command.job);
         for (const TaskPlacement &placement : command.placements) {
-            releaseReservation({id, placement.task}, placement.attempt);
+            if (!isRecorded(command.job, placement)) {
+                releaseReservation({command.job, placement.task}, placement.attempt);
+            }
         }
     });
 }
 
+bool Cell::isRecorded(const JobId &id, const TaskPlacement &placement) const
+{
+    const auto job = state_.jobs().find(id);
+    if (job == state_.jobs().end()) {
+        return false;
+    }
+    const TaskRecord &task = job->second->tasks[placement.task];
+    return task.attempt == placement.attempt && task.worker == placement.worker;
+}
+
+/// The journal's order makes the reply to the second proposal tell what became of the first.
+void Cell::proposeAgain()
+{
+    for (const EndTask &command : std::exchange(undecidedEnds_, {})) {
+        proposeEnd(command);
+    }
+    for (const PlaceTasks &command : std::exchange(undecidedPlacements_, {})) {
+        proposePlacement(command);
+    }
+}
+
 bool Cell::isPreemptible(const TaskKey &key, const Reservation &held) const
 {
     const auto job = state_.jobs().find(key.first);
@@ -418,32 +220,4 @@
     return placement_.feasible(wanted);
 }
 
-void Cell::refresh(const WorkerId &worker)
-{
-    const auto found = workers_.find(worker);
-    if (found != workers_.end()) {
-        updateWorker(found->second);
-    }
-}
-
-std::string Cell::describeWorkers() const
-{
-    boost::json::array list;
-    for (const std::pair<const WorkerId, WorkerRecord> &known : workers_) {
-        const WorkerAnnouncement &announcement = known.second.announcement;
-        const TaskSize free = placement_.freeOn(known.first);
-        list.push_back(boost::json::object {{"id", known.first.value()},
-            {"availability_zone", announcement.zone.value()}, {"rack", announcement.rack.value()},
-            {"state",
-                known.second.lost ? "lost"
-                    : announcement.draining || state_.drainedWorkers().contains(known.first)
-                    ? "draining"
-                    : "serving"},
-            {"quarantined", state_.quarantined().contains(known.first)},
-            {"tasks", announcement.tasks.size()}, {"free_millicores", free.milliCores},
-            {"free_memory_bytes", free.memory.value()}});
-    }
-    return boost::json::serialize(list);
-}
-
 } // namespace crocusmill
--- a/src/services/cell.h
+++ b/src/services/cell.h
@@ -58,15 +58,21 @@
     void reserve(const TaskKey &key, const Reservation &reservation);
     void updateWorker(const WorkerRecord &record);
     void endTask(const JobId &job, std::uint32_t task, std::uint32_t attempt, TaskEnd end);
+    void proposeEnd(const EndTask &command);
     void releaseReservation(const TaskKey &key, std::uint32_t attempt);
     void sweepWorkers(MonotonicTime now);
     /// Ends what runs in no process of the worker any more, once its leases are over.
     void endGone(WorkerRecord &record, MonotonicTime now);
     [[nodiscard]] bool hasGone(const WorkerRecord &record, const TaskKey &key) const;
     [[nodiscard]] Milliseconds leaseLife() const;
-    [[nodiscard]] bool isOfIncarnation(const TaskKey &key, const Incarnation &incarnation) const;
+    /// The task is recorded as placed on the process that announces itself.
+    [[nodiscard]] bool isPlacedOn(const WorkerAnnouncement &process, const TaskKey &key) const;
     void placeJob(const JobId &id, const Job &job);
     void propose(const JobId &id, const Job &job, const PlacementResult &result);
+    void proposePlacement(const PlaceTasks &command);
+    [[nodiscard]] bool isRecorded(const JobId &id, const TaskPlacement &placement) const;
+    /// Proposes again what neither was applied nor refused in time.
+    void proposeAgain();
     /// Frees room for urgent work by stopping tasks that are not urgent; what they hold is free
     /// once their worker no longer lists them.
     void preemptFor(const Job &urgent);
@@ -95,6 +101,9 @@
     // Tasks whose end is proposed and not applied yet, and jobs whose placement is.
     std::set<TaskKey> ending_;
     std::set<JobId> placing_;
+    // Of those, what became of them is not known; they are proposed again with the next sweep.
+    std::vector<EndTask> undecidedEnds_;
+    std::vector<PlaceTasks> undecidedPlacements_;
     // Tasks that were told to make room and are still listed by their worker.
     std::set<TaskKey> preempted_;
 };
--- a/src/state/leasebook.cpp
+++ b/src/state/leasebook.cpp
@@ -72,7 +72,7 @@
         const Attempt *attempt = attemptOf(*work, id);
         const bool current = attempt == &work->attempts.back()
             && attempt->state == AttemptState::Started && sameProcess(*attempt, announcement);
-        if (!current || work->cancelled) {
+        if (!current || work->cancelled || givenUp_.contains(id)) {
             verdict.stop.push_back(id);
             continue;
         }
@@ -81,11 +81,20 @@
     }
 }
 
+EndAttempt LeaseBook::giveUp(const Work &work, const AttemptId &attempt)
+{
+    givenUp_.insert(attempt);
+    return {work.id, attempt, AttemptEnd::Lost};
+}
+
 void LeaseBook::settleAttempt(const Announcement &announcement, const Work &work,
-    const Attempt &attempt, Verdict &verdict, WallTime wallNow)
+    const Attempt &attempt, Verdict &verdict, MonotonicTime now, WallTime wallNow)
 {
     if (!sameProcess(attempt, announcement)) {
-        verdict.commands.emplace_back(EndAttempt {work.id, attempt.id, AttemptEnd::Lost});
+        // The announcement may be an earlier process's, late on its way.
+        if (!work.exclusive || leaseOver(attempt.id, now)) {
+            verdict.commands.emplace_back(giveUp(work, attempt.id));
+        }
         return;
     }
     const FinishedAttempt *finished = finishedOf(announcement, attempt.id);
@@ -125,12 +134,13 @@
         if (attempt == nullptr || attempt->state != AttemptState::Started) {
             settled.push_back(id);
         } else if (attempt->upstream == announcement.id) {
-            settleAttempt(announcement, *work, *attempt, verdict, wallNow);
+            settleAttempt(announcement, *work, *attempt, verdict, now, wallNow);
         }
     }
     for (const AttemptId &id : settled) {
         settling_.erase(id);
         leasedUntil_.erase(id);
+        givenUp_.erase(id);
     }
     for (const FinishedAttempt &finished : announcement.finished) {
         const Work *work = state.findAttempt(finished.attempt);
@@ -143,8 +153,12 @@
 }
 
 std::vector<Command> LeaseBook::upstreamsGone(
-    const std::set<UpstreamId> &alive, const StateMachine &state, MonotonicTime now) const
+    const std::set<UpstreamId> &alive, const StateMachine &state, MonotonicTime now)
 {
+    // What is over and what was never leased are the same to leaseOver().
+    std::erase_if(leasedUntil_, [now](const std::pair<const AttemptId, MonotonicTime> &known) {
+        return now >= known.second;
+    });
     std::vector<Command> commands;
     for (const AttemptId &id : settling_) {
         const Work *work = state.findAttempt(id);
@@ -157,7 +171,7 @@
         const bool over =
             work->exclusive ? leaseOver(id, now) : work->repeatable && now >= graceEnds_;
         if (over) {
-            commands.emplace_back(EndAttempt {work->id, id, AttemptEnd::Lost});
+            commands.emplace_back(giveUp(*work, id));
         }
     }
     return commands;
--- a/support/check_models.sh
+++ b/support/check_models.sh
@@ -33,6 +33,7 @@
 
 check election SAME_IDENTITY
 check lease ENTRY_GRANTS
+check lease LATE_RECORD
 check startonce SEND_FIRST
 check startonce HELD_UP
 check promotion BLIND_WRITE
--- a/test/cell.cpp
+++ b/test/cell.cpp
@@ -2,6 +2,8 @@
 
 #include "src/services/cell.h"
 
+#include "src/net/peerstream.h"
+
 #include <catch2/catch.hpp>
 
 namespace crocusmill
@@ -24,7 +26,12 @@
     void lead()
     {
         const Cell::Propose propose = [this](const Command &command, const ProposeHandler &done) {
-            done(apply(command));
+            if (!journalIsSlow) {
+                done(apply(command));
+                return;
+            }
+            late.push_back(command);
+            done(make_error_code(PeerError::TimedOut));
         };
         cell = std::make_unique<Cell>(times, state, propose, now);
     }
@@ -35,6 +42,15 @@
         return state.apply(command, index);
     }
 
+    /// What was proposed while the journal was slow is applied after all, in its order.
+    void catchUp()
+    {
+        journalIsSlow = false;
+        for (const Command &command : std::exchange(late, {})) {
+            apply(command);
+        }
+    }
+
     void submit(const std::string &id, std::uint32_t tasks, std::uint32_t cores)
     {
         SubmitJob job;
@@ -54,6 +70,7 @@
         announcement.capacity = {4'000, ByteCount {64 * gigabyte}, 0};
         announcement.tasks = std::move(tasks);
         const WorkerReply reply = cell->announced(announcement, now, WallTime {});
+        renewed = reply.renew.size();
         std::vector<std::string> started;
         for (const TaskOrder &order : reply.start) {
             started.push_back(order.job.value() + "/" + std::to_string(order.attempt));
@@ -77,6 +94,9 @@
     StateMachine state;
     LogIndex index;
     MonotonicTime now {std::chrono::hours {1}};
+    std::size_t renewed = 0; // leases by the last reply
+    bool journalIsSlow = false;
+    std::vector<Command> late;
     std::unique_ptr<Cell> cell;
 };
 
@@ -159,6 +179,54 @@
     CHECK(floor.announce("w", "one") == Started {"a/1"});
 }
 
+TEST_CASE("a placement whose record stays undecided keeps its room, and only its own")
+{
+    Floor floor;
+    floor.now += floor.life + Milliseconds {1};
+    floor.announce("one", "i");
+    floor.announce("two", "i");
+    floor.submit("a", 1, 4);
+    floor.journalIsSlow = true;
+    floor.pass(Milliseconds {200});
+    floor.pass(Milliseconds {200});
+    floor.catchUp();
+    floor.pass(Milliseconds {200});
+    floor.submit("b", 1, 4);
+    floor.pass(Milliseconds {200});
+    const Started first = floor.announce("one", "i");
+    const Started second = floor.announce("two", "i");
+    CHECK(first.size() == 1);
+    CHECK(second.size() == 1);
+    CHECK(first != second);
+}
+
+TEST_CASE("the end of a task whose record stays undecided frees its room once")
+{
+    BusyFloor floor;
+    TaskReport ended = running("a", 1);
+    ended.state = TaskReportState::Succeeded;
+    floor.journalIsSlow = true;
+    floor.announce("w", "one", {ended});
+    floor.catchUp();
+    floor.submit("b", 1, 4);
+    floor.pass(Milliseconds {200});
+    floor.pass(Milliseconds {200});
+    CHECK(floor.announce("w", "one") == Started {"b/1"});
+}
+
+TEST_CASE("a task whose loss is decided and not recorded yet gets no new lease")
+{
+    BusyFloor floor;
+    floor.announce("w", "one", {running("a", 1)});
+    CHECK(floor.renewed == 1);
+    floor.journalIsSlow = true;
+    floor.pass(floor.life + Milliseconds {1});
+    floor.announce("w", "one", {running("a", 1)});
+    CHECK(floor.renewed == 0);
+    floor.catchUp();
+    CHECK(floor.task("a").state == TaskState::Waiting);
+}
+
 TEST_CASE("a lost worker without tasks is forgotten")
 {
     Floor floor;
--- a/test/leases.cpp
+++ b/test/leases.cpp
@@ -90,6 +90,36 @@
     CHECK(bench.book.upstreamsGone({}, bench.state, bench.now).size() == 1);
 }
 
+TEST_CASE("an attempt whose end is decided and not recorded yet gets no new lease")
+{
+    Bench bench;
+    bench.now += Milliseconds {5000};
+    bench.announcement.running = {AttemptId {"e-1"}};
+    REQUIRE(bench.announce().leases.size() == 1);
+    bench.book.settle(AttemptId {"e-1"});
+    bench.now += Milliseconds {4600};
+    REQUIRE(bench.book.upstreamsGone({}, bench.state, bench.now).size() == 1);
+    const LeaseBook::Verdict back = bench.announce();
+    CHECK(back.leases.empty());
+    CHECK(back.stop == std::vector<AttemptId> {AttemptId {"e-1"}});
+}
+
+TEST_CASE("an announcement of another process ends no exclusive attempt before its lease")
+{
+    Bench bench;
+    bench.now += Milliseconds {5000};
+    bench.announcement.running = {AttemptId {"e-1"}};
+    REQUIRE(bench.announce().leases.size() == 1);
+    bench.book.settle(AttemptId {"e-1"});
+    bench.announcement.incarnation = Incarnation {"earlier, and late on its way"};
+    bench.announcement.running.clear();
+    bench.announce();
+    CHECK(bench.attemptState() == AttemptState::Started);
+    bench.now += Milliseconds {4600};
+    bench.announce();
+    CHECK(bench.attemptState() == AttemptState::Lost);
+}
+
 TEST_CASE("a new leader takes no lease to be over before a whole one has passed")
 {
     Bench bench;
