Reading: one clock, the entry's sent attempts, what stood twice

Cause: read as a newcomer would. An `auto` result became its type. Ruled out: the remaining shape-alike texts of enumerations, test cases that begin alike, and the benchmark library's own loops.

--- a/bench/standin.cpp
+++ b/bench/standin.cpp
@@ -34,11 +34,6 @@
     return std::to_string(random()) + std::to_string(random());
 }
 
-MonotonicTime monotonicNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 asio::awaitable<void> sleepFor(std::chrono::microseconds time)
 {
     asio::steady_timer timer {co_await asio::this_coro::executor, time};
--- a/bench/standinupstream.h
+++ b/bench/standinupstream.h
@@ -3,12 +3,12 @@
 #pragma once
 
 #include "bench/standin.h"
+#include "src/net/clock.h"
 
 namespace crocusmill::standin
 {
 
 [[nodiscard]] std::string freshIncarnation();
-[[nodiscard]] MonotonicTime monotonicNow();
 [[nodiscard]] asio::awaitable<void> sleepFor(std::chrono::microseconds time);
 
 struct StandIn::Upstream
--- a/src/services/askhandler.cpp
+++ b/src/services/askhandler.cpp
@@ -2,6 +2,7 @@
 
 #include "src/services/askhandler.h"
 
+#include "src/net/clock.h"
 #include "src/services/workflow.h"
 #include "src/wire/commandjson.h"
 
--- a/src/services/entryservice.cpp
+++ b/src/services/entryservice.cpp
@@ -2,10 +2,12 @@
 
 #include "src/services/entryservice.h"
 
+#include "src/net/clock.h"
 #include "src/net/log.h"
 #include "src/net/peerstream.h"
 #include "src/services/quietupstreams.h"
 #include "src/services/routetable.h"
+#include "src/services/sentattempts.h"
 
 #include <algorithm>
 #include <atomic>
@@ -22,11 +24,6 @@
 constexpr Milliseconds beatLimit {1'000};
 constexpr Milliseconds announceLimit {2'000};
 
-MonotonicTime monotonicNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 std::string randomHex()
 {
     std::random_device random;
@@ -104,17 +101,11 @@
         Milliseconds ran, bool left) override
     {
         admission_.ended(request, verdict, ran, monotonicNow());
-        const auto sent = sent_.find(attempt);
-        if (sent == sent_.end()) {
-            return;
-        }
-        if (left) {
-            sent_.erase(sent);
-            admission_.slotFree(request);
+        const std::optional<RequestId> free = sent_.ended(attempt, left);
+        if (free) {
+            admission_.slotFree(*free);
             decide();
-            return;
         }
-        sent->second.lingering = true;
     }
 
     bool takeRetry(const ServiceKey &service) override
@@ -188,14 +179,6 @@
     }
 
 private:
-    struct Sent
-    {
-        RequestId request;
-        UpstreamId upstream;
-        Incarnation incarnation;
-        bool lingering = false; // ended without proof that it has left the upstream
-    };
-
     void decide()
     {
         Decisions decisions = admission_.decide(monotonicNow());
@@ -209,8 +192,7 @@
     {
         const DirectoryEntry &upstream = directory_[assignment.upstream];
         const AttemptId attempt = makeAttemptId(epoch_, nextAttempt_++);
-        sent_.emplace(
-            attempt, Sent {assignment.request, assignment.upstream, upstream.incarnation, false});
+        sent_.sent(attempt, assignment.request, assignment.upstream, upstream.incarnation);
         answer(assignment.request,
             Dispatch {assignment.request, attempt, assignment.upstream, upstream.incarnation,
                 upstream.address, keptConnections(upstream)});
@@ -292,12 +274,7 @@
         call.held = slots_.report(fullNext_, monotonicNow());
         call.demand = admission_.demand();
         call.heard = quiet_.takeHeard();
-        for (const std::pair<const AttemptId, Sent> &known : sent_) {
-            if (known.second.lingering) {
-                call.lingering.push_back(
-                    {known.first, known.second.upstream, known.second.incarnation});
-            }
-        }
+        call.lingering = sent_.lingering();
         return call;
     }
 
@@ -343,10 +320,9 @@
         entries_ = reply.entries;
         seen_.store(std::max(seen_.load(), reply.applied.value()));
         for (const AttemptId &attempt : reply.departed) {
-            const auto found = sent_.find(attempt);
-            if (found != sent_.end() && found->second.lingering) {
-                admission_.slotFree(found->second.request);
-                sent_.erase(found);
+            const std::optional<RequestId> free = sent_.departed(attempt);
+            if (free) {
+                admission_.slotFree(*free);
             }
         }
         client_->learnReplicas(reply.replicas);
@@ -424,8 +400,7 @@
     std::map<UpstreamId, DirectoryEntry> directory_;
     QuietUpstreams quiet_;
     std::uint64_t nextAttempt_ = 1;
-    // Invariant: one element for each slot that is taken.
-    std::map<AttemptId, Sent> sent_;
+    SentAttempts sent_;
     std::map<RequestId, std::function<void(DispatchResult)>> waiting_;
     std::atomic<std::uint64_t> nextRequest_ {1};
     // Never above what is applied; read by the traffic threads.
--- a/src/services/flowanswers.cpp
+++ b/src/services/flowanswers.cpp
@@ -33,11 +33,6 @@
     return "unknown";
 }
 
-WallTime wallTimeNow()
-{
-    return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
-}
-
 void Flow::countOutcome(const std::string &outcome)
 {
     parts_.metrics.count({"requests_total", "outcome=\"" + outcome + "\""});
--- a/src/services/flowhelpers.cpp
+++ b/src/services/flowhelpers.cpp
@@ -8,11 +8,6 @@
 namespace crocusmill
 {
 
-MonotonicTime monotonicNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 bool isHopByHop(std::string_view name)
 {
     constexpr std::array<std::string_view, 9> hopByHop {"connection", "keep-alive",
--- a/src/services/flowhelpers.h
+++ b/src/services/flowhelpers.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "src/net/clock.h"
 #include "src/net/forwarder.h"
 
 #include <crocusmill/commands.h>
@@ -20,6 +21,5 @@
 /// The attempt's outcome alone proves that it did not run.
 [[nodiscard]] bool provesNotRun(ForwardKind kind);
 [[nodiscard]] std::string_view outcomeText(ForwardKind kind);
-[[nodiscard]] MonotonicTime monotonicNow();
 
 } // namespace crocusmill
--- a/src/services/ingress.cpp
+++ b/src/services/ingress.cpp
@@ -2,6 +2,7 @@
 
 #include "src/services/ingress.h"
 
+#include "src/net/clock.h"
 #include "src/net/log.h"
 #include "src/services/announcehandler.h"
 #include "src/services/askhandler.h"
--- a/src/services/journalservice.cpp
+++ b/src/services/journalservice.cpp
@@ -2,6 +2,7 @@
 
 #include "src/services/journalservice.h"
 
+#include "src/net/clock.h"
 #include "src/net/log.h"
 #include "src/net/peerstream.h"
 #include "src/services/founding.h"
@@ -22,11 +23,6 @@
 constexpr Milliseconds tickInterval {10};
 constexpr Milliseconds proposeLimit {5'000};
 
-MonotonicTime monotonicNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 class JournalService final : public Service, public Journal
 {
 public:
--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -2,6 +2,7 @@
 
 #include "src/services/leaderservice.h"
 
+#include "src/net/clock.h"
 #include "src/net/log.h"
 #include "src/net/peerstream.h"
 #include "src/services/leadership.h"
@@ -20,16 +21,6 @@
 constexpr Milliseconds sweepInterval {200};
 constexpr Milliseconds forgetInterval {10'000};
 
-MonotonicTime monotonicNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
-WallTime wallNow()
-{
-    return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
-}
-
 class LeaderService final : public Service, public Leader
 {
 public:
@@ -226,7 +217,7 @@
         slots.running = announcement.running;
         lead_->ledger.announced(slots, now);
         LeaseBook::Verdict verdict =
-            lead_->leases.announced(announcement, journal_->state(), now, wallNow());
+            lead_->leases.announced(announcement, journal_->state(), now, wallTimeNow());
         reply.leases = std::move(verdict.leases);
         reply.stop = std::move(verdict.stop);
         reply.forget = std::move(verdict.forget);
@@ -262,7 +253,7 @@
 
     void on(const WorkerCall &call, const ReplyHandler &done)
     {
-        done(Reply {lead_->cell.announced(call.announcement, monotonicNow(), wallNow())});
+        done(Reply {lead_->cell.announced(call.announcement, monotonicNow(), wallTimeNow())});
     }
 
     void on(const JobCall &call, const ReplyHandler &done)
@@ -319,7 +310,7 @@
             settings_.times.slots.grantLife + settings_.times.slots.driftMargin;
         std::erase_if(lead_->entries,
             [now, life](const auto &known) { return now - known.second.heard > life; });
-        lead_->cell.sweep(now, wallNow());
+        lead_->cell.sweep(now, wallTimeNow());
         if (now < lead_->graceEnds) {
             return;
         }
@@ -333,7 +324,7 @@
 
     void forget()
     {
-        const WallTime before = wallNow() - settings_.state->keepEnded;
+        const WallTime before = wallTimeNow() - settings_.state->keepEnded;
         record({ForgetEnded {before}});
     }
 
--- a/src/services/operators.cpp
+++ b/src/services/operators.cpp
@@ -2,6 +2,7 @@
 
 #include "src/services/operators.h"
 
+#include "src/net/clock.h"
 #include "src/net/controlloop.h"
 #include "src/net/log.h"
 #include "src/services/workflow.h"
--- /dev/null
+++ b/src/services/sentattempts.h
@@ -0,0 +1,42 @@
+/// Attempts that an entry has sent and whose slots it holds.
+
+#pragma once
+
+#include "src/wire/calls.h"
+
+#include <crocusmill/admission.h>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace crocusmill
+{
+
+class SentAttempts
+{
+public:
+    void sent(const AttemptId &attempt, RequestId request, const UpstreamId &upstream,
+        const Incarnation &incarnation);
+    /// The attempt is over for its caller. The request whose slot is free now, when its work has
+    /// `left` the upstream; else the attempt lingers until departed().
+    [[nodiscard]] std::optional<RequestId> ended(const AttemptId &attempt, bool left);
+    /// The upstream's announcements show that a lingering attempt has left; the request whose slot
+    /// is free now.
+    [[nodiscard]] std::optional<RequestId> departed(const AttemptId &attempt);
+    [[nodiscard]] std::vector<LingeringAttempt> lingering() const;
+
+private:
+    struct Sent
+    {
+        RequestId request;
+        UpstreamId upstream;
+        Incarnation incarnation;
+        bool lingering = false; // ended without proof that it has left the upstream
+    };
+
+    // Invariant: one element for each slot that is taken.
+    std::map<AttemptId, Sent> attempts_;
+};
+
+} // namespace crocusmill
--- a/src/services/workflow.h
+++ b/src/services/workflow.h
@@ -116,7 +116,6 @@
 };
 
 [[nodiscard]] std::string_view text(Execution execution);
-[[nodiscard]] WallTime wallTimeNow();
 
 /// Answer of ended work, or what is known of it.
 [[nodiscard]] HttpResponse describeWork(const Work &work);
--- a/src/services/workrecovery.cpp
+++ b/src/services/workrecovery.cpp
@@ -2,7 +2,7 @@
 
 #include "src/services/workrecovery.h"
 
-#include "src/services/workflow.h"
+#include "src/net/clock.h"
 
 namespace crocusmill
 {
--- a/src/state/codec.cpp
+++ b/src/state/codec.cpp
@@ -43,11 +43,12 @@
     text += ']';
 }
 
-template <typename Map> auto sharedValuesOf(const Map &map)
+template <typename Id, typename T>
+std::vector<std::shared_ptr<const T>> sharedValuesOf(const std::map<Id, CopyOnWrite<T>> &map)
 {
-    std::vector<decltype(map.begin()->second.share())> values;
+    std::vector<std::shared_ptr<const T>> values;
     values.reserve(map.size());
-    for (const typename Map::value_type &pair : map) {
+    for (const std::pair<const Id, CopyOnWrite<T>> &pair : map) {
         values.push_back(pair.second.share());
     }
     return values;
--- a/src/state/joblist.cpp
+++ b/src/state/joblist.cpp
@@ -30,6 +30,15 @@
     return task.state == TaskState::Waiting && placement.attempt == task.attempt + 1;
 }
 
+template <typename Id> void list(std::set<Id> &ids, const Id &id, bool isListed)
+{
+    if (isListed) {
+        ids.insert(id);
+    } else {
+        ids.erase(id);
+    }
+}
+
 std::uint64_t quotaOf(const Document &document, const TeamName &name)
 {
     for (const Team &team : document.teams) {
@@ -148,31 +157,19 @@
 
 ApplyReply StateMachine::on(const QuarantineWorker &command)
 {
-    if (command.quarantined) {
-        quarantined_.insert(command.worker);
-    } else {
-        quarantined_.erase(command.worker);
-    }
+    list(quarantined_, command.worker, command.quarantined);
     return {};
 }
 
 ApplyReply StateMachine::on(const DrainUpstream &command)
 {
-    if (command.drained) {
-        drainedUpstreams_.insert(command.upstream);
-    } else {
-        drainedUpstreams_.erase(command.upstream);
-    }
+    list(drainedUpstreams_, command.upstream, command.drained);
     return {};
 }
 
 ApplyReply StateMachine::on(const DrainWorker &command)
 {
-    if (command.drained) {
-        drainedWorkers_.insert(command.worker);
-    } else {
-        drainedWorkers_.erase(command.worker);
-    }
+    list(drainedWorkers_, command.worker, command.drained);
     return {};
 }
 
--- a/src/storage/journalrecords.cpp
+++ b/src/storage/journalrecords.cpp
@@ -97,6 +97,23 @@
     return success();
 }
 
+/// A file of one record.
+std::string frameAlone(std::string_view payload)
+{
+    std::string framed;
+    appendRecord(framed, payload);
+    return framed;
+}
+
+Result<std::string_view> payloadAlone(std::string_view framed)
+{
+    BOOST_OUTCOME_TRY(const ScannedRecords scanned, scanRecords(framed));
+    if (scanned.payloads.size() != 1 || scanned.validBytes != framed.size()) {
+        return StorageError::Damaged;
+    }
+    return scanned.payloads.front();
+}
+
 } // namespace
 
 void appendHard(std::string &out, const HardState &hard)
@@ -144,18 +161,13 @@
     putU64(payload, membership.size());
     payload.append(membership);
     payload.append(snapshot.data);
-    std::string framed;
-    appendRecord(framed, payload);
-    return framed;
+    return frameAlone(payload);
 }
 
 Result<Snapshot> decodeSnapshot(std::string_view framed)
 {
-    BOOST_OUTCOME_TRY(const ScannedRecords scanned, scanRecords(framed));
-    if (scanned.payloads.size() != 1 || scanned.validBytes != framed.size()) {
-        return StorageError::Damaged;
-    }
-    FieldReader reader {scanned.payloads.front()};
+    BOOST_OUTCOME_TRY(const std::string_view payload, payloadAlone(framed));
+    FieldReader reader {payload};
     BOOST_OUTCOME_TRY(const std::uint64_t index, reader.u64());
     BOOST_OUTCOME_TRY(const std::uint64_t term, reader.u64());
     BOOST_OUTCOME_TRY(const std::uint64_t size, reader.u64());
@@ -172,18 +184,13 @@
 {
     std::string payload;
     putU64(payload, identity.value());
-    std::string framed;
-    appendRecord(framed, payload);
-    return framed;
+    return frameAlone(payload);
 }
 
 Result<ReplicaId> decodeIdentity(std::string_view framed)
 {
-    BOOST_OUTCOME_TRY(const ScannedRecords scanned, scanRecords(framed));
-    if (scanned.payloads.size() != 1 || scanned.validBytes != framed.size()) {
-        return StorageError::Damaged;
-    }
-    FieldReader reader {scanned.payloads.front()};
+    BOOST_OUTCOME_TRY(const std::string_view payload, payloadAlone(framed));
+    FieldReader reader {payload};
     BOOST_OUTCOME_TRY(const std::uint64_t identity, reader.u64());
     return ReplicaId {identity};
 }
