Operators' resumes reach the leader; an entry without a configuration answers 503

Cause of the resume that was not accepted for 30 s: the description of OperatorAction for the codec lacked ResumeUpstream and ResumeWorker, so a call with one of them was written as a number and refused as malformed by the VM that received it. The client took that for an unreachable leader and tried again until its time was over. Only a VM that leads itself, which encodes nothing, could resume: the test asked the VM after the killed leader, which became the leader in about one run of four.

Ruled out: that each resend changes the leader (the list of upstreams, a call of the same kind, was answered all the while), that the record is refused as repeated (it sets a flag and is always applied), and the test's wait.

Change: both actions are described; a test encodes and decodes every action (failed first at the first action that is missing).

An entry that had just come back answered 404 because its table of routes is empty until its first beat is answered. Until then it answers 503 with Retry-After and not_run. The live test restarts an entry while no leader can be elected: 404 before, 503 now.

--- a/src/services/ingress.cpp
+++ b/src/services/ingress.cpp
@@ -18,6 +18,8 @@
 namespace
 {
 
+/// A first beat to the leader takes about this long once there is one.
+constexpr Milliseconds startingRetry {1'000};
 constexpr std::string_view readyPath = "/.well-known/crocusmill/ready";
 
 HttpResponse notFound(const std::string &type, const std::string &title)
@@ -185,6 +187,19 @@
             boost::json::serialize(body));
     }
 
+    /// Without a confirmed configuration, an unknown route says nothing about what is in force.
+    static HttpResponse starting()
+    {
+        Problem problem;
+        problem.status = http::status::service_unavailable;
+        problem.type = "starting";
+        problem.title = "Not ready";
+        problem.detail = "This entry has no confirmed configuration yet";
+        problem.execution = "not_run";
+        problem.retryAfter = startingRetry;
+        return problemResponse(problem);
+    }
+
     Forwarder &forwarderOf(const asio::any_io_executor &executor)
     {
         asio::execution_context &context = asio::query(executor, asio::execution::context);
@@ -194,6 +209,9 @@
     asio::awaitable<HttpResponse> route(
         const HttpRequest &request, const std::shared_ptr<CallerWatch> &watch)
     {
+        if (entry_->readiness() == Readiness::Starting) {
+            co_return starting();
+        }
         const std::shared_ptr<const RouteTable> table = entry_->routes();
         const auto host = table->hosts.find(lowerHost(request[http::field::host]));
         if (host == table->hosts.end()) {
--- a/src/wire/calljson.h
+++ b/src/wire/calljson.h
@@ -13,7 +13,8 @@
 BOOST_DESCRIBE_ENUM(TaskReportState, Running, Succeeded, Failed)
 BOOST_DESCRIBE_ENUM(UpstreamMode, Serving, Draining)
 BOOST_DESCRIBE_ENUM(OperatorAction, ListVms, ListMembers, ListUpstreams, ListWorkers, ListJobs,
-    ListEnvironments, DrainVm, DrainUpstream, DrainWorker, ReplaceMember)
+    ListEnvironments, DrainVm, DrainUpstream, ResumeUpstream, DrainWorker, ResumeWorker,
+    ReplaceMember)
 
 BOOST_DESCRIBE_STRUCT(ServiceKey, (), (environment, stage, service))
 BOOST_DESCRIBE_STRUCT(SlotLine, (), (upstream, slots))
--- a/test/live/faults.cpp
+++ b/test/live/faults.cpp
@@ -378,6 +378,22 @@
     }));
 }
 
+TEST_CASE("an entry without a confirmed configuration answers 503 and not 404")
+{
+    Desk desk {25200};
+    desk.cluster.kill(2);
+    desk.cluster.kill(3);
+    desk.cluster.kill(1);
+    desk.cluster.start(1); // alone it finds no leader, so nothing is confirmed
+    HttpReply reply;
+    REQUIRE(eventually([&]() {
+        reply = desk.cluster.call(1, "POST", "/quotes", "x");
+        return reply.status != 0;
+    }));
+    CHECK(reply.status == 503);
+    CHECK(reply.execution() == "not_run");
+}
+
 TEST_CASE("a damaged data folder stops the replica with a typed error")
 {
     Desk desk {24000};
--- a/test/wire.cpp
+++ b/test/wire.cpp
@@ -118,6 +118,19 @@
     }
 }
 
+TEST_CASE("every action of an operator reaches the leader as it was asked")
+{
+    // The leader is asked in place when it is the VM asked, so only other VMs encode the call.
+    constexpr int last = static_cast<int>(OperatorAction::ReplaceMember);
+    for (int number = 0; number <= last; ++number) {
+        const OperatorAction action = static_cast<OperatorAction>(number);
+        const Result<Call> decoded = decodeCall(encodeCall(Call {OperatorCall {action, "u1"}}));
+        INFO(number);
+        REQUIRE(decoded.has_value());
+        CHECK(std::get<OperatorCall>(decoded.value()).action == action);
+    }
+}
+
 TEST_CASE("calls and replies with changed bytes are refused with a type or read")
 {
     BeatCall beat;
