--- a/include/crocusmill/announcement.h
+++ b/include/crocusmill/announcement.h
@@ -6,7 +6,9 @@
 #include <crocusmill/consensus.h>
 #include <crocusmill/document.h>
 #include <crocusmill/slots.h>
+#include <crocusmill/workerclock.h>
 
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -71,6 +73,26 @@
     std::vector<TaskReport> tasks;
 };
 
+/// What a worker that takes its orders by calls says of itself at each interval.
+struct WorkerHeartbeat
+{
+    WorkerId id;
+    Incarnation incarnation; // milliseconds since the epoch of its start, so that later is newer
+    NodeAddress address; // where it is called
+    ServiceName service;
+    AvailabilityZone zone;
+    RackId rack;
+    std::vector<WorkerLabel> labels;
+    TaskSize capacity;
+    std::optional<WorkerTime> clock;
+    std::uint64_t sequence = 0; // rises within an incarnation
+    bool draining = false;
+    Milliseconds remaining {0}; // that a draining worker stays at least
+};
+
+/// Whether `left` started after `right`.
+[[nodiscard]] bool isNewer(const Incarnation &left, const Incarnation &right);
+
 /// One attempt of a task, as it is told to its worker.
 struct TaskOrder
 {
--- a/include/crocusmill/commands.h
+++ b/include/crocusmill/commands.h
@@ -5,8 +5,10 @@
 
 #pragma once
 
+#include <crocusmill/catalog.h>
 #include <crocusmill/document.h>
 #include <crocusmill/ids.h>
+#include <crocusmill/taskgraph.h>
 
 #include <cstdint>
 #include <optional>
@@ -159,15 +161,6 @@
     bool drained = true;
 };
 
-struct TaskSize
-{
-    std::uint32_t milliCores = 0;
-    ByteCount memory;
-    std::uint32_t accelerators = 0;
-
-    bool operator==(const TaskSize &) const = default;
-};
-
 enum class JobClass { Service, Batch, Gang };
 
 struct SubmitJob
@@ -238,7 +231,8 @@
 
 using Command = std::variant<TryEnvironment, PromoteEnvironment, AdmitWork, StartWork, EndAttempt,
     FinishWork, RevokeWork, AdoptWork, ForgetEnded, SubmitJob, PlaceTasks, EndTask, CancelJob,
-    QuarantineWorker, DrainUpstream, DrainWorker>;
+    QuarantineWorker, DrainUpstream, DrainWorker, InstallCatalog, SubmitGraph, PlaceRuns, EndRuns,
+    CancelGraph>;
 
 enum class StateError {
     None = 0,
--- a/include/crocusmill/consensus.h
+++ b/include/crocusmill/consensus.h
@@ -277,6 +277,8 @@
 
     void broadcast();
     void replicateTo(const Member &member);
+    [[nodiscard]] bool takesEntries(const Progress &progress) const;
+    [[nodiscard]] LogIndex lastPossibleMatch(const AppendRequest &request) const;
     void sendSnapshot(ReplicaId to, Progress &progress);
     [[nodiscard]] std::vector<LogEntry> entriesFrom(LogIndex first) const;
     void advanceCommit();
--- /dev/null
+++ b/include/crocusmill/graphbook.h
@@ -0,0 +1,97 @@
+/// Recorded state of jobs that are graphs of steps.
+///
+/// Part of the state machine: pure and deterministic. Not thread-safe.
+
+#pragma once
+
+#include <crocusmill/copyonwrite.h>
+#include <crocusmill/taskgraph.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace crocusmill
+{
+
+enum class TaskPhase { Waiting, Placed, Succeeded, GivenUp };
+
+struct GraphTask
+{
+    TaskPhase phase = TaskPhase::Waiting;
+    RunNumber run; // newest; zero: never placed
+    std::vector<RunNumber> failed; // runs that ended so, each once
+    WorkerId worker; // of the newest run
+    Incarnation incarnation;
+    Checkpoint saved;
+};
+
+struct GraphStep
+{
+    std::vector<GraphTask> tasks;
+    std::vector<RunNumber> failed; // of a gang: runs with a member that failed, each once
+};
+
+struct GraphOccurrence
+{
+    std::vector<GraphStep> steps;
+};
+
+enum class GraphState { Open, Succeeded, Failed, Cancelled };
+
+struct Graph
+{
+    GraphSpec spec;
+    WallTime acceptedAt;
+    WallTime endedAt; // once it is not open
+    GraphState state = GraphState::Open;
+    bool started = false; // a task was placed at least once
+    std::vector<GraphOccurrence> occurrences;
+
+    [[nodiscard]] const GraphTask *find(const TaskRef &ref) const;
+    /// All steps that this one comes after have succeeded.
+    [[nodiscard]] bool isReady(std::uint32_t occurrence, std::uint32_t step) const;
+    /// Number of the next run of a task; members of a gang share it.
+    [[nodiscard]] RunNumber nextRun(const TaskRef &ref) const;
+    [[nodiscard]] WallTime dueAt(std::uint32_t occurrence) const;
+};
+
+class GraphBook
+{
+public:
+    /// False when the id is known already.
+    bool submit(const SubmitGraph &command);
+    void place(const PlaceRuns &command);
+    void end(const EndRuns &command);
+    /// False when there is no such job.
+    bool cancel(const CancelGraph &command);
+    /// Drops jobs that ended before `before` and have no task placed.
+    void forget(WallTime before);
+
+    [[nodiscard]] const Graph *find(const GraphId &id) const;
+    /// Jobs that are open.
+    [[nodiscard]] const std::set<GraphId> &open() const;
+    [[nodiscard]] const std::map<GraphId, CopyOnWrite<Graph>> &all() const;
+    [[nodiscard]] std::vector<std::shared_ptr<const Graph>> image() const;
+    void restore(std::vector<Graph> graphs);
+
+private:
+    [[nodiscard]] static GraphTask *taskOf(Graph &graph, const TaskRef &ref);
+    [[nodiscard]] static bool isPlaceable(const Graph &graph, const RunPlacement &placement);
+    [[nodiscard]] bool gangIsWhole(
+        const std::vector<RunPlacement> &placements, const RunPlacement &member) const;
+    static void endRun(Graph &graph, const EndedRun &ended);
+    static void failRun(Graph &graph, const EndedRun &ended);
+    void settle(Graph &graph, WallTime at);
+    void close(Graph &graph, GraphState state, WallTime at);
+
+    std::map<GraphId, CopyOnWrite<Graph>> graphs_;
+    // Invariant: the ids of open graphs.
+    std::set<GraphId> open_;
+    // Invariant: every other graph once, in the order of ending.
+    std::deque<GraphId> ended_;
+};
+
+} // namespace crocusmill
--- a/include/crocusmill/settings.h
+++ b/include/crocusmill/settings.h
@@ -18,7 +18,7 @@
 /// A VM that may hold a voting replica.
 struct VoterSettings
 {
-    VmId vm;
+    VmId vm; // empty: not known, only where it is
     NodeAddress address;
 };
 
@@ -40,6 +40,11 @@
     Milliseconds keepEnded {600'000};
     /// A member's VM that was not heard this long is replaced where a spare exists.
     Milliseconds replaceAfter {60'000};
+    /// How many replicas vote where there are that many VMs with a data folder; zero: as many as
+    /// `peers.voters` names.
+    std::uint32_t voters = 0;
+    /// Whether this VM may found a cell; false where a cell is known to exist.
+    bool mayFound = true;
 };
 
 struct EntrySettings
@@ -69,11 +74,13 @@
 
 enum class LogFormat { Text, Json };
 enum class LogLevel { Debug, Info, Warning, Error };
+enum class LogOutput { StandardError, StandardOutput };
 
 struct LogSettings
 {
     LogFormat format = LogFormat::Text;
     LogLevel level = LogLevel::Info;
+    LogOutput output = LogOutput::StandardError;
 };
 
 struct TraceSettings
@@ -106,8 +113,12 @@
     PeerSettings peers;
     std::optional<StateSettings> state; // absent: no voting replica here
     EntrySettings entry;
+    /// Requests are forwarded to upstreams here; false where another adapter takes them.
+    bool takesRequests = true;
     std::optional<NodeAddress> announce; // absent: announcements come to the entry's port
     OperatorSettings operators;
+    /// Settings of the adapter to a platform, which checks them itself; empty: none.
+    std::string platform;
     LogSettings log;
     TraceSettings trace;
     TimeSettings times;
--- a/include/crocusmill/statemachine.h
+++ b/include/crocusmill/statemachine.h
@@ -8,6 +8,7 @@
 #include <crocusmill/commands.h>
 #include <crocusmill/copyonwrite.h>
 #include <crocusmill/error.h>
+#include <crocusmill/graphbook.h>
 
 #include <deque>
 #include <map>
@@ -112,6 +113,8 @@
     std::vector<WorkerId> quarantined;
     std::vector<UpstreamId> drainedUpstreams;
     std::vector<WorkerId> drainedWorkers;
+    Catalog catalog;
+    std::vector<std::shared_ptr<const Graph>> graphs;
 };
 
 [[nodiscard]] std::string encodeImage(const StateImage &image);
@@ -141,6 +144,8 @@
     [[nodiscard]] const std::set<WorkerId> &quarantined() const;
     [[nodiscard]] const std::set<UpstreamId> &drainedUpstreams() const;
     [[nodiscard]] const std::set<WorkerId> &drainedWorkers() const;
+    [[nodiscard]] const Catalog &catalog() const;
+    [[nodiscard]] const GraphBook &graphs() const;
     [[nodiscard]] std::uint64_t reservedCores(
         const EnvironmentName &environment, const TeamName &team) const;
 
@@ -167,6 +172,11 @@
     ApplyReply on(const QuarantineWorker &command);
     ApplyReply on(const DrainUpstream &command);
     ApplyReply on(const DrainWorker &command);
+    ApplyReply on(const InstallCatalog &command);
+    ApplyReply on(const SubmitGraph &command);
+    ApplyReply on(const PlaceRuns &command);
+    ApplyReply on(const EndRuns &command);
+    ApplyReply on(const CancelGraph &command);
 
     [[nodiscard]] bool hostTaken(const Document &document) const;
     [[nodiscard]] Work *mutableWork(const WorkId &id);
@@ -192,6 +202,8 @@
     std::set<WorkerId> quarantined_;
     std::set<UpstreamId> drainedUpstreams_;
     std::set<WorkerId> drainedWorkers_;
+    Catalog catalog_;
+    GraphBook graphs_;
     // Derived from work_: keys, attempts that are not over, and work that has not ended.
     std::map<std::pair<EnvironmentName, IdempotencyKey>, WorkId> keys_;
     std::map<AttemptId, WorkId> attempts_;
--- /dev/null
+++ b/include/crocusmill/ticketbook.h
@@ -0,0 +1,68 @@
+/// Which workers a step may run on, and the tickets that its starts carry.
+///
+/// Load pattern: asking is slow and its answers do not change, but a ticket is short-lived. So what
+/// was allowed is kept for the step, and only workers that are about to be used are asked about
+/// again. Pure; owned by the control thread.
+
+#pragma once
+
+#include <crocusmill/taskgraph.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace crocusmill
+{
+
+using Ticket = StrongValue<struct TicketTag, std::string>;
+
+/// A worker that was asked about and is allowed.
+struct AllowedWorker
+{
+    WorkerId worker;
+    Ticket ticket;
+};
+
+class TicketBook
+{
+public:
+    /// A question about these workers is on its way.
+    void asked(const TaskRef &step, const std::vector<WorkerId> &workers);
+    /// Its answer came; a worker that was asked about and is not named is not allowed.
+    void answered(const TaskRef &step, const std::vector<WorkerId> &workers,
+        const std::vector<AllowedWorker> &allowed, MonotonicTime validUntil);
+    /// No answer came; the workers may be asked about again.
+    void unanswered(const TaskRef &step, const std::vector<WorkerId> &workers);
+    void forget(const TaskRef &step);
+
+    /// A question about the step has no answer yet.
+    [[nodiscard]] bool isAsking(const TaskRef &step) const;
+    [[nodiscard]] bool wasAsked(const TaskRef &step, const WorkerId &worker) const;
+    [[nodiscard]] bool isAllowed(const TaskRef &step, const WorkerId &worker) const;
+    /// The worker's ticket if it is still good at `until`.
+    [[nodiscard]] std::optional<Ticket> ticket(
+        const TaskRef &step, const WorkerId &worker, MonotonicTime until) const;
+    /// Steps that something is kept for.
+    [[nodiscard]] std::vector<TaskRef> steps() const;
+
+private:
+    struct Entry
+    {
+        bool allowed = false;
+        Ticket ticket;
+        MonotonicTime validUntil {};
+    };
+    struct Step
+    {
+        std::uint32_t questions = 0; // without an answer yet
+        std::map<WorkerId, Entry> workers; // those asked about
+    };
+
+    [[nodiscard]] const Entry *find(const TaskRef &step, const WorkerId &worker) const;
+
+    std::map<TaskRef, Step> steps_;
+};
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/cell/ticketbook.cpp
@@ -0,0 +1,100 @@
+/// Tickets by step and worker.
+
+#include <crocusmill/ticketbook.h>
+
+namespace crocusmill
+{
+
+void TicketBook::asked(const TaskRef &step, const std::vector<WorkerId> &workers)
+{
+    Step &known = steps_[step];
+    ++known.questions;
+    for (const WorkerId &worker : workers) {
+        known.workers.try_emplace(worker);
+    }
+}
+
+void TicketBook::answered(const TaskRef &step, const std::vector<WorkerId> &workers,
+    const std::vector<AllowedWorker> &allowed, MonotonicTime validUntil)
+{
+    const auto found = steps_.find(step);
+    if (found == steps_.end()) {
+        return; // the step was forgotten meanwhile
+    }
+    --found->second.questions;
+    for (const WorkerId &worker : workers) {
+        found->second.workers[worker].allowed = false;
+    }
+    for (const AllowedWorker &known : allowed) {
+        found->second.workers[known.worker] = {true, known.ticket, validUntil};
+    }
+}
+
+void TicketBook::unanswered(const TaskRef &step, const std::vector<WorkerId> &workers)
+{
+    const auto found = steps_.find(step);
+    if (found == steps_.end()) {
+        return;
+    }
+    --found->second.questions;
+    for (const WorkerId &worker : workers) {
+        const auto entry = found->second.workers.find(worker);
+        if (entry != found->second.workers.end() && !entry->second.allowed) {
+            found->second.workers.erase(entry);
+        }
+    }
+}
+
+void TicketBook::forget(const TaskRef &step)
+{
+    steps_.erase(step);
+}
+
+bool TicketBook::isAsking(const TaskRef &step) const
+{
+    const auto found = steps_.find(step);
+    return found != steps_.end() && found->second.questions > 0;
+}
+
+const TicketBook::Entry *TicketBook::find(const TaskRef &step, const WorkerId &worker) const
+{
+    const auto found = steps_.find(step);
+    if (found == steps_.end()) {
+        return nullptr;
+    }
+    const auto entry = found->second.workers.find(worker);
+    return entry == found->second.workers.end() ? nullptr : &entry->second;
+}
+
+bool TicketBook::wasAsked(const TaskRef &step, const WorkerId &worker) const
+{
+    return find(step, worker) != nullptr;
+}
+
+bool TicketBook::isAllowed(const TaskRef &step, const WorkerId &worker) const
+{
+    const Entry *entry = find(step, worker);
+    return entry != nullptr && entry->allowed;
+}
+
+std::optional<Ticket> TicketBook::ticket(
+    const TaskRef &step, const WorkerId &worker, MonotonicTime until) const
+{
+    const Entry *entry = find(step, worker);
+    if (entry == nullptr || !entry->allowed || entry->validUntil < until) {
+        return std::nullopt;
+    }
+    return entry->ticket;
+}
+
+std::vector<TaskRef> TicketBook::steps() const
+{
+    std::vector<TaskRef> refs;
+    refs.reserve(steps_.size());
+    for (const std::pair<const TaskRef, Step> &known : steps_) {
+        refs.push_back(known.first);
+    }
+    return refs;
+}
+
+} // namespace crocusmill
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -122,9 +122,8 @@
     const bool matches = request.previousIndex <= lastIndex()
         && termAt(request.previousIndex) == request.previousTerm;
     if (!matches) {
-        const LogIndex hint = std::min(lastIndex(), previous(request.previousIndex));
         send(message.from,
-            AppendReply {false, std::max(hint, commit_), request.previousIndex, request.sentAt});
+            AppendReply {false, lastPossibleMatch(request), request.previousIndex, request.sentAt});
         return;
     }
     appendFromLeader(request.entries);
@@ -133,6 +132,20 @@
     send(message.from, AppendReply {true, matched, request.previousIndex, request.sentAt});
 }
 
+/// Where this log and the leader's may still be the same: before the request's place, and before
+/// the whole term that this log has there in place of the leader's.
+LogIndex Consensus::lastPossibleMatch(const AppendRequest &request) const
+{
+    LogIndex hint = std::min(lastIndex(), previous(request.previousIndex));
+    if (request.previousIndex <= lastIndex()) {
+        const Term differing = termAt(request.previousIndex);
+        while (hint > commit_ && termAt(hint) == differing) {
+            hint = previous(hint);
+        }
+    }
+    return std::max(hint, commit_);
+}
+
 void Consensus::appendFromLeader(const std::vector<LogEntry> &entries)
 {
     for (const LogEntry &entry : entries) {
@@ -224,6 +237,15 @@
     });
 }
 
+/// A member that answers gets what it lacks. One that is probed, or silent, gets bare messages:
+/// entries that nobody takes in would pile up on their way, and hold up the probes.
+bool Consensus::takesEntries(const Progress &progress) const
+{
+    constexpr int heartbeatsToSilence = 4;
+    return !progress.probing
+        && now_ - progress.lastAck <= heartbeatsToSilence * settings_.heartbeat;
+}
+
 void Consensus::replicateTo(const Member &member)
 {
     const auto [found, isNew] =
@@ -238,8 +260,8 @@
     request.previousTerm = termAt(request.previousIndex);
     request.commit = commit_;
     request.sentAt = toWire(now_);
-    request.entries = entriesFrom(progress.next);
-    if (!progress.probing) {
+    if (takesEntries(progress)) {
+        request.entries = entriesFrom(progress.next);
         progress.next = LogIndex {progress.next.value() + request.entries.size()};
     }
     send(member.id, std::move(request));
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "src/daemon/daemon.h"
 
+#include "platform/platform.h"
 #include "src/net/log.h"
 #include "src/services/clientservice.h"
 #include "src/services/entryservice.h"
@@ -9,6 +10,7 @@
 #include "src/services/leaderservice.h"
 #include "src/services/operators.h"
 #include "src/services/peerservice.h"
+#include "src/services/presence.h"
 
 #include <csignal>
 #include <fstream>
@@ -64,10 +66,12 @@
 
 } // namespace
 
-Daemon::Daemon(Settings settings)
+Daemon::Daemon(Settings settings, std::function<Checked<Settings>()> reload)
     : settings_(std::move(settings))
     , tracer_(settings_.trace, settings_.vm)
+    , reload_(std::move(reload))
     , signals_(loop_.context(), SIGTERM, SIGINT)
+    , reloadSignal_(loop_.context(), SIGHUP)
     , shutdownTimer_(loop_.context())
 {
     for (std::uint32_t i = 0; i < settings_.entry.threads; ++i) {
@@ -94,10 +98,18 @@
     }
     kernel_.add(makePeerService(loop_, settings_.peers, std::move(key)));
     kernel_.add(makeJournalService(control, settings_, std::move(storage)));
-    kernel_.add(makeLeaderService(control, settings_));
+    const bool onPlatform = !settings_.platform.empty();
+    kernel_.add(makeLeaderService(control, settings_, onPlatform));
     kernel_.add(makeClientService(control, settings_));
-    kernel_.add(makeEntryService(control, settings_, replica));
-    kernel_.add(makeIngressService(control, traffic, settings_, metrics_, tracer_));
+    if (settings_.takesRequests) {
+        kernel_.add(makeEntryService(control, settings_, replica));
+        kernel_.add(makeIngressService(control, traffic, settings_, metrics_, tracer_));
+    }
+    if (onPlatform) {
+        kernel_.add(makePresenceService(control, settings_, replica, true));
+        BOOST_OUTCOME_TRY(platform::addServices(
+            kernel_, {control, traffic, metrics_, settings_.entry}, settings_.platform));
+    }
     kernel_.add(makeOperatorService(control, traffic, settings_, token, metrics_, tracer_,
         [this]() { asio::post(loop_.context(), [this]() { beginShutdown(); }); }));
     return kernel_.start();
@@ -136,6 +148,7 @@
         }
         startTraffic();
         awaitSignal();
+        awaitReload();
         logInfo("daemon.started");
     });
     loop_.run([this]() {
@@ -145,6 +158,17 @@
     return outcome;
 }
 
+std::vector<Ingress *> Daemon::ingresses()
+{
+    std::vector<Ingress *> found;
+    for (const std::string_view name : {names::ingress, names::front}) {
+        if (Ingress *ingress = kernel_.find<Ingress>(name)) {
+            found.push_back(ingress);
+        }
+    }
+    return found;
+}
+
 void Daemon::awaitSignal()
 {
     signals_.async_wait([this](const boost::system::error_code &error, int /*signal*/) {
@@ -154,6 +178,33 @@
     });
 }
 
+void Daemon::awaitReload()
+{
+    reloadSignal_.async_wait([this](const boost::system::error_code &error, int /*signal*/) {
+        if (!error) {
+            reload();
+            awaitReload();
+        }
+    });
+}
+
+/// Of the settings, only where other VMs are found changes while a process runs.
+void Daemon::reload()
+{
+    const Checked<Settings> checked = reload_();
+    if (const Faults *faults = std::get_if<Faults>(&checked)) {
+        logError("settings.reload_refused",
+            {{"faults", std::uint64_t {faults->size()}}, {"first", faults->front().pointer}});
+        return;
+    }
+    std::vector<NodeAddress> seeds;
+    for (const VoterSettings &voter : std::get<Settings>(checked).peers.voters) {
+        seeds.push_back(voter.address);
+    }
+    logInfo("settings.reloaded", {{"seeds", std::uint64_t {seeds.size()}}});
+    kernel_.find<LeaderClient>(names::client)->learnSeeds(seeds);
+}
+
 void Daemon::beginShutdown()
 {
     if (shuttingDown_) {
@@ -161,17 +212,27 @@
     }
     shuttingDown_ = true;
     logInfo("daemon.draining");
-    kernel_.find<Entry>(names::entry)->drain();
+    if (Entry *entry = kernel_.find<Entry>(names::entry)) {
+        entry->drain();
+    }
+    if (Presence *presence = kernel_.find<Presence>(names::presence)) {
+        presence->drain();
+    }
     shutdownTimer_.expires_after(settings_.entry.balancerInterval);
     shutdownTimer_.async_wait([this](const boost::system::error_code & /*error*/) {
-        kernel_.find<Ingress>(names::ingress)->stopAccepting();
+        for (Ingress *ingress : ingresses()) {
+            ingress->stopAccepting();
+        }
         awaitFinished(std::chrono::steady_clock::now() + settings_.entry.drainLimit);
     });
 }
 
 void Daemon::awaitFinished(MonotonicTime limit)
 {
-    const std::size_t left = kernel_.find<Ingress>(names::ingress)->inProgress();
+    std::size_t left = 0;
+    for (const Ingress *ingress : ingresses()) {
+        left += ingress->inProgress();
+    }
     const bool late = std::chrono::steady_clock::now() >= limit;
     if (left == 0 || late) {
         if (left > 0) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -10,6 +10,7 @@
 
 #include <crocusmill/settings.h>
 
+#include <functional>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -20,7 +21,8 @@
 class Daemon
 {
 public:
-    explicit Daemon(Settings settings);
+    /// `reload` reads the settings again; its seeds are taken over at SIGHUP.
+    Daemon(Settings settings, std::function<Checked<Settings>()> reload);
     ~Daemon();
 
     /// Runs on the calling thread, which becomes the control thread, until SIGTERM or SIGINT has
@@ -31,7 +33,11 @@
     [[nodiscard]] Result<void> assemble();
     void startTraffic();
     void stopTraffic();
+    /// The callers' ports of this process.
+    [[nodiscard]] std::vector<Ingress *> ingresses();
     void awaitSignal();
+    void awaitReload();
+    void reload();
     /// Not ready; after the balancer's interval no new connections; then until all is finished.
     void beginShutdown();
     void awaitFinished(MonotonicTime limit);
@@ -43,7 +49,9 @@
     Kernel kernel_;
     std::vector<std::unique_ptr<asio::io_context>> traffic_;
     std::vector<std::thread> threads_;
+    std::function<Checked<Settings>()> reload_;
     asio::signal_set signals_;
+    asio::signal_set reloadSignal_;
     asio::steady_timer shutdownTimer_;
     bool shuttingDown_ = false;
 };
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -45,17 +45,21 @@
     return exitUsage;
 }
 
-int runDaemon(const Arguments &arguments)
+crocusmill::Checked<crocusmill::Settings> readSettings(const std::string &path)
 {
-    std::ifstream in {arguments.settings};
+    std::ifstream in {path};
     if (!in) {
-        std::cerr << "cannot read " << arguments.settings << '\n';
-        return exitUsage;
+        return crocusmill::Faults {
+            {"", crocusmill::FaultKind::Missing, "a file that can be read at " + path}};
     }
     std::ostringstream content;
     content << in.rdbuf();
-    const crocusmill::Checked<crocusmill::Settings> checked =
-        crocusmill::parseSettings(content.str());
+    return crocusmill::parseSettings(content.str());
+}
+
+int runDaemon(const Arguments &arguments)
+{
+    const crocusmill::Checked<crocusmill::Settings> checked = readSettings(arguments.settings);
     if (const crocusmill::Faults *faults = std::get_if<crocusmill::Faults>(&checked)) {
         return reportFaults(*faults);
     }
@@ -65,11 +69,14 @@
     const crocusmill::Settings &settings = std::get<crocusmill::Settings>(checked);
     std::signal(SIGPIPE, SIG_IGN);
     crocusmill::startLog(settings.log, settings.vm);
-    crocusmill::Daemon daemon {settings};
+    crocusmill::Daemon daemon {settings, [path = arguments.settings]() {
+                                   return readSettings(path);
+                               }};
     const crocusmill::Result<void> outcome = daemon.run();
     if (!outcome) {
         crocusmill::logError("daemon.failed", {{"error", outcome.error()}});
     }
+    crocusmill::flushLog();
     // What is still suspended past the drain limit is not unwound: the sockets of its coroutines
     // and the contexts that own those coroutines refer to each other.
     std::quick_exit(outcome ? 0 : exitFailed);
--- a/src/net/forwarder.h
+++ b/src/net/forwarder.h
@@ -4,14 +4,10 @@
 
 #pragma once
 
-#include "src/net/httpserver.h"
+#include "src/net/httpclient.h"
 
 #include <crocusmill/ids.h>
 
-#include <deque>
-#include <map>
-#include <memory>
-
 namespace crocusmill
 {
 
@@ -29,10 +25,7 @@
 {
     NodeAddress to;
     AttemptId attempt;
-    /// A kept connection may turn out to be closed when the request has been written, which
-    /// proves nothing; work that may not run twice gets a fresh one.
-    /// Idle connections to this address that may be kept afterwards; none: the forwarder's limit.
-    std::optional<std::uint32_t> keep;
+    std::optional<std::uint32_t> keep; // see HttpCall, as the next
     bool fresh = false;
     HttpRequest request;
     MonotonicTime deadline;
@@ -44,39 +37,17 @@
     HttpResponse response;
 };
 
-struct ForwardLimits
-{
-    Milliseconds connect {1'000};
-    ByteCount answerBytes {8ULL * 1024 * 1024};
-    std::size_t idlePerUpstream = 8;
-};
-
 class Forwarder
 {
 public:
-    Forwarder(asio::io_context &context, ForwardLimits limits);
+    Forwarder(asio::io_context &context, HttpClientLimits limits);
 
     [[nodiscard]] asio::awaitable<ForwardOutcome> forward(ForwardRequest request);
 
 private:
-    struct Connection
-    {
-        explicit Connection(asio::io_context &context);
-
-        beast::tcp_stream stream;
-        beast::flat_buffer buffer;
-    };
-    using ConnectionPtr = std::unique_ptr<Connection>;
-
-    [[nodiscard]] asio::awaitable<ConnectionPtr> connect(NodeAddress to, MonotonicTime deadline);
-    [[nodiscard]] ConnectionPtr takeIdle(const NodeAddress &to);
-    [[nodiscard]] asio::awaitable<ForwardOutcome> exchange(
-        Connection &connection, const ForwardRequest &request);
     [[nodiscard]] static ForwardOutcome judge(HttpResponse response, const AttemptId &attempt);
 
-    asio::io_context &context_;
-    ForwardLimits limits_;
-    std::map<NodeAddress, std::deque<ConnectionPtr>> idle_;
+    HttpClient client_;
 };
 
 /// Header names of the upstream interface.
--- /dev/null
+++ b/src/net/httpclient.cpp
@@ -0,0 +1,131 @@
+/// HTTP requests over pooled connections.
+
+#include "src/net/httpclient.h"
+
+#include <algorithm>
+#include <limits>
+#include <sys/socket.h>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+/// Nothing to read and not closed; anything else is no connection for a new request.
+bool isQuiet(Tcp::socket &socket)
+{
+    char byte = 0;
+    const ssize_t size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+HttpClient::Connection::Connection(asio::io_context &context)
+    : stream(context)
+{
+}
+
+HttpClient::HttpClient(asio::io_context &context, HttpClientLimits limits)
+    : context_(context)
+    , limits_(limits)
+{
+}
+
+void HttpClient::forget(const NodeAddress &address)
+{
+    idle_.erase(address);
+}
+
+asio::awaitable<HttpClient::ConnectionPtr> HttpClient::connect(
+    NodeAddress to, MonotonicTime deadline)
+{
+    ConnectionPtr connection = std::make_unique<Connection>(context_);
+    boost::system::error_code error;
+    const Tcp::endpoint endpoint {asio::ip::make_address(to.ip, error), to.port};
+    if (error) {
+        co_return nullptr;
+    }
+    const MonotonicTime limit = std::chrono::steady_clock::now() + limits_.connect;
+    connection->stream.expires_at(std::min(limit, deadline));
+    co_await connection->stream.async_connect(endpoint, errorInto(error));
+    if (error) {
+        co_return nullptr;
+    }
+    connection->stream.socket().set_option(Tcp::no_delay(true), error);
+    co_return connection;
+}
+
+HttpClient::ConnectionPtr HttpClient::takeIdle(const NodeAddress &to)
+{
+    std::deque<ConnectionPtr> &idle = idle_[to];
+    while (!idle.empty()) {
+        ConnectionPtr connection = std::move(idle.back());
+        idle.pop_back();
+        if (isQuiet(connection->stream.socket())) {
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+asio::awaitable<HttpOutcome> HttpClient::send(HttpCall call)
+{
+    ConnectionPtr connection = call.fresh ? nullptr : takeIdle(call.to);
+    if (!connection) {
+        connection = co_await connect(call.to, call.deadline);
+    }
+    if (!connection || std::chrono::steady_clock::now() >= call.deadline) {
+        co_return HttpOutcome {HttpSending::NotSent, {}};
+    }
+    HttpOutcome outcome = co_await exchange(*connection, call);
+    if (outcome.kind == HttpSending::TimedOut) {
+        forget(call.to); // the others may have gone silent with this one
+    }
+    const bool whole = outcome.kind == HttpSending::Answered;
+    if (whole && outcome.response.keep_alive() && connection->buffer.size() == 0) {
+        keep(call, std::move(connection));
+    }
+    co_return outcome;
+}
+
+void HttpClient::keep(const HttpCall &call, ConnectionPtr connection)
+{
+    std::deque<ConnectionPtr> &idle = idle_[call.to];
+    idle.push_back(std::move(connection));
+    const std::size_t most = std::min<std::size_t>(
+        limits_.idlePerAddress, call.keep.value_or(std::numeric_limits<std::uint32_t>::max()));
+    while (idle.size() > most) {
+        idle.pop_front();
+    }
+}
+
+asio::awaitable<HttpOutcome> HttpClient::exchange(Connection &connection, const HttpCall &call)
+{
+    boost::system::error_code error;
+    connection.stream.expires_at(call.deadline);
+    co_await http::async_write(connection.stream, call.request, errorInto(error));
+    if (error) {
+        const bool late = error == beast::error::timeout;
+        co_return HttpOutcome {late ? HttpSending::TimedOut : HttpSending::Broken, {}};
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(limits_.answerBytes.value());
+    co_await http::async_read(connection.stream, connection.buffer, parser, errorInto(error));
+    if (error == beast::error::timeout) {
+        co_return HttpOutcome {HttpSending::TimedOut, {}};
+    }
+    if (error == http::error::body_limit) {
+        co_return HttpOutcome {HttpSending::TooLarge, {}};
+    }
+    // An answer without a length ends with its connection, so a cut cannot be told from its end.
+    const bool delimited = parser.is_header_done()
+        && (parser.chunked() || parser.content_length() || parser.get().result_int() == 204);
+    if (error || !delimited) {
+        co_return HttpOutcome {HttpSending::Broken, {}};
+    }
+    co_return HttpOutcome {HttpSending::Answered, parser.release()};
+}
+
+} // namespace crocusmill
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -1,17 +1,20 @@
-/// Log records through Boost.Log, as text or as JSON lines on the standard error.
+/// Log records through Boost.Log, as text or as JSON lines.
 
 #include "src/net/log.h"
 
 #include <boost/json.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/smart_ptr/make_shared_object.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <iomanip>
 #include <iostream>
@@ -27,11 +30,36 @@
 
 using Logger = logging::sources::severity_logger_mt<LogLevel>;
 
+/// Counts what the queue has no room for.
+class CountingOverflow : public logging::sinks::drop_on_overflow
+{
+public:
+    template <typename Lock>
+    static bool on_overflow(const logging::record_view & /*record*/, Lock & /*lock*/)
+    {
+        dropped().fetch_add(1);
+        return false;
+    }
+
+    static std::atomic<std::uint64_t> &dropped()
+    {
+        static std::atomic<std::uint64_t> count {0};
+        return count;
+    }
+};
+
+/// The library takes the size of the queue at compile time.
+constexpr std::size_t mostWaiting = 4'096;
+using Backend = logging::sinks::text_ostream_backend;
+using Sink = logging::sinks::asynchronous_sink<Backend,
+    logging::sinks::bounded_fifo_queue<mostWaiting, CountingOverflow>>;
+
 struct LogState
 {
     LogFormat format = LogFormat::Text;
     VmId vm;
     Logger logger;
+    boost::shared_ptr<Sink> sink;
 };
 
 LogState &logState()
@@ -138,18 +166,40 @@
 {
     logState().format = settings.format;
     logState().vm = vm;
-    using Backend = logging::sinks::text_ostream_backend;
-    using Sink = logging::sinks::synchronous_sink<Backend>;
     const boost::shared_ptr<Backend> backend = boost::make_shared<Backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
+    std::ostream &out = settings.output == LogOutput::StandardOutput ? std::cout : std::cerr;
+    backend->add_stream(boost::shared_ptr<std::ostream>(&out, boost::null_deleter()));
     backend->auto_flush(true);
     const boost::shared_ptr<Sink> sink = boost::make_shared<Sink>(backend);
+    logState().sink = sink;
     sink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
     logging::core::get()->add_sink(sink);
     const LogLevel least = settings.level;
     logging::core::get()->set_filter(logging::expressions::attr<LogLevel>("Severity") >= least);
 }
 
+void flushLog()
+{
+    if (logState().sink) {
+        logState().sink->stop();
+        logState().sink->flush();
+    }
+}
+
+namespace
+{
+
+/// One record for all that were dropped since the last.
+void reportDropped()
+{
+    const std::uint64_t dropped = CountingOverflow::dropped().exchange(0);
+    if (dropped > 0) {
+        logRecord(LogLevel::Warning, "log.dropped", {{"records", dropped}});
+    }
+}
+
+} // namespace
+
 void logRecord(
     LogLevel level, std::string_view event, std::initializer_list<LogAttribute> attributes)
 {
@@ -163,6 +213,9 @@
                                                  : asTextLine(level, event, attributes));
     out.flush();
     logger.push_record(std::move(record));
+    if (event != "log.dropped") {
+        reportDropped();
+    }
 }
 
 void logInfo(std::string_view event, std::initializer_list<LogAttribute> attributes)
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -1,5 +1,8 @@
 /// Structured log records: an event name and typed attributes.
 ///
+/// Writing never waits: records go through a bounded queue to a thread of their own, and what does
+/// not fit is dropped. Their number stands in a record of its own once there is room again.
+///
 /// One record for a thing that an operator acts on; none for each request at the default level.
 
 #pragma once
@@ -30,6 +33,8 @@
 };
 
 void startLog(const LogSettings &settings, const VmId &vm);
+/// Writes what waits; for the end of the process.
+void flushLog();
 
 /// Any thread.
 void logRecord(
--- a/src/services/clientservice.cpp
+++ b/src/services/clientservice.cpp
@@ -66,6 +66,11 @@
         }
     }
 
+    void learnSeeds(const std::vector<NodeAddress> &seeds) override
+    {
+        seeds_ = seeds;
+    }
+
 private:
     struct Pending
     {
@@ -113,8 +118,8 @@
         if (local && *local != self_) {
             return *local;
         }
-        next_ = (next_ + 1) % replicas_.size();
-        return replicas_[next_];
+        next_ = (next_ + 1) % (replicas_.size() + seeds_.size());
+        return next_ < replicas_.size() ? replicas_[next_] : seeds_[next_ - replicas_.size()];
     }
 
     void forget(const NodeAddress &address)
@@ -154,6 +159,7 @@
     asio::io_context &control_;
     NodeAddress self_;
     std::vector<NodeAddress> replicas_;
+    std::vector<NodeAddress> seeds_; // of newer settings; may be stale or cut off themselves
     std::size_t next_ = 0;
     std::optional<NodeAddress> known_;
     Peers *peers_ = nullptr;
--- /dev/null
+++ b/src/services/dispatcher.cpp
@@ -0,0 +1,365 @@
+/// Rounds of decisions: what is ready, in which order, on which workers.
+
+#include "src/services/dispatcher.h"
+
+#include "src/net/clock.h"
+#include "src/net/log.h"
+
+#include <algorithm>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+/// A ticket must be good this long after the decision: the record and the order take their time.
+constexpr Milliseconds ticketMargin {250};
+/// Workers that a step asks about first. The more, the more are allowed; each costs time.
+constexpr std::size_t leastAsked = 16;
+constexpr std::size_t mostAsked = 100; // of one question
+/// Of the workers asked about, at least about this share is allowed.
+constexpr double allowedShare = 0.3;
+/// Workers beyond those chosen that a renewal asks about, in case room is taken meanwhile.
+constexpr std::size_t renewalSpare = 2;
+constexpr Milliseconds forgetInterval {2'000};
+
+TaskRef stepRef(const TaskRef &task)
+{
+    TaskRef step = task;
+    step.task = 0;
+    return step;
+}
+
+} // namespace
+
+std::shared_ptr<Dispatcher> Dispatcher::make(const Parts &parts, MonotonicTime now)
+{
+    const std::shared_ptr<Dispatcher> made {new Dispatcher(parts)};
+    made->supervisor_ = std::make_shared<RunSupervisor>(
+        RunSupervisor::Parts {parts.journal.state(), parts.link, parts.propose,
+            [&journal = parts.journal, term = parts.term]() {
+                return journal.leads() && journal.consensus()->term() == term;
+            },
+            FencingToken {parts.term.value()}, SupervisorTimes {},
+            [weak = std::weak_ptr<Dispatcher> {made}]() {
+                if (const std::shared_ptr<Dispatcher> self = weak.lock()) {
+                    self->wake();
+                }
+            }},
+        now);
+    made->supervisor_->takeOver(now);
+    return made;
+}
+
+Dispatcher::Dispatcher(const Parts &parts)
+    : parts_(parts)
+    , agents_(parts.peers, parts.tickets, parts.self)
+{
+}
+
+void Dispatcher::heard(const WorkerHeartbeat &heartbeat, MonotonicTime now)
+{
+    supervisor_->heard(heartbeat, now);
+}
+
+void Dispatcher::left(const WorkerId &worker, const Incarnation &incarnation, MonotonicTime now)
+{
+    supervisor_->left(worker, incarnation, now);
+}
+
+void Dispatcher::present(const NodeAddress &vm, MonotonicTime now)
+{
+    agents_.heard(vm, now);
+}
+
+const RunSupervisor &Dispatcher::supervisor() const
+{
+    return *supervisor_;
+}
+
+void Dispatcher::wake()
+{
+    if (std::exchange(woken_, true)) {
+        return;
+    }
+    asio::post(parts_.control, [weak = weak_from_this()]() {
+        const std::shared_ptr<Dispatcher> self = weak.lock();
+        if (self && self->parts_.journal.leads()) {
+            self->woken_ = false;
+            self->tick(monotonicNow(), wallTimeNow());
+        }
+    });
+}
+
+void Dispatcher::tick(MonotonicTime now, WallTime wall)
+{
+    now_ = now;
+    supervisor_->tick(now, wall);
+    std::vector<ReadyStep> ready = readySteps(wall);
+    sortByUrgency(ready, wall);
+    for (const ReadyStep &step : ready) {
+        placeStep(step, now);
+    }
+    record(now);
+    if (now >= forgetDue_) {
+        forgetDue_ = now + forgetInterval;
+        forgetTickets();
+    }
+}
+
+std::vector<ReadyStep> Dispatcher::readySteps(WallTime wall)
+{
+    std::vector<ReadyStep> ready;
+    for (const GraphId &id : parts_.journal.state().graphs().open()) {
+        const Graph &graph = *parts_.journal.state().graphs().find(id);
+        for (std::uint32_t k = 0; k < graph.occurrences.size(); ++k) {
+            if (graph.dueAt(k) <= wall) {
+                collect(graph, k, ready);
+            }
+        }
+    }
+    return ready;
+}
+
+void Dispatcher::collect(
+    const Graph &graph, std::uint32_t occurrence, std::vector<ReadyStep> &ready)
+{
+    const std::vector<GraphStep> &steps = graph.occurrences[occurrence].steps;
+    for (std::uint32_t step = 0; step < steps.size(); ++step) {
+        const std::vector<GraphTask> &tasks = steps[step].tasks;
+        const bool waits = std::any_of(tasks.begin(), tasks.end(),
+            [](const GraphTask &task) { return task.phase == TaskPhase::Waiting; });
+        if (!waits) {
+            continue;
+        }
+        if (!graph.isReady(occurrence, step)) {
+            askAhead(graph, occurrence, step, now_);
+            continue;
+        }
+        ready.push_back({TaskRef {graph.spec.id, occurrence, step, 0}, graph.spec.priority,
+            graph.dueAt(occurrence), objectiveOf(graph.spec)});
+    }
+}
+
+StepDemand Dispatcher::demandOf(const Graph &graph, const TaskRef &step) const
+{
+    StepDemand demand;
+    demand.step = step;
+    demand.service = graph.spec.service;
+    demand.spec = &graph.spec.steps[step.step];
+    const std::vector<GraphTask> &tasks = graph.occurrences[step.occurrence].steps[step.step].tasks;
+    TaskRef ref = step;
+    for (ref.task = 0; ref.task < tasks.size(); ++ref.task) {
+        if (tasks[ref.task].phase == TaskPhase::Waiting && !supervisor_->holds(ref)) {
+            demand.waiting.push_back(ref.task);
+        } else if (demand.spec->gang) {
+            demand.waiting.clear(); // some of it is still there
+            return demand;
+        }
+    }
+    return demand;
+}
+
+void Dispatcher::placeStep(const ReadyStep &ready, MonotonicTime now)
+{
+    const Graph &graph = *parts_.journal.state().graphs().find(ready.step.graph);
+    const StepDemand demand = demandOf(graph, ready.step);
+    if (demand.waiting.empty()) {
+        return;
+    }
+    const Queue *queue = parts_.journal.state().catalog().find(graph.spec.queue);
+    if (queue != nullptr && queue->tickets) {
+        placeTicketed(demand, graph, *queue->tickets, now);
+        return;
+    }
+    take(demand, graph,
+        supervisor_->fleet().choose(demand, [](const FleetWorker & /*worker*/) { return true; }),
+        now);
+}
+
+void Dispatcher::placeTicketed(
+    const StepDemand &demand, const Graph &graph, const TicketTerms &terms, MonotonicTime now)
+{
+    const TaskRef &step = demand.step;
+    const Fleet &fleet = supervisor_->fleet();
+    const std::vector<FleetChoice> chosen = fleet.choose(demand, [&](const FleetWorker &worker) {
+        return book_.ticket(step, worker.id, now + ticketMargin).has_value();
+    });
+    take(demand, graph, chosen, now);
+    if (chosen.size() == demand.waiting.size() || book_.isAsking(step) || !agents_.mayAsk(now)) {
+        return;
+    }
+    StepDemand rest = demandOf(graph, step);
+    const std::vector<FleetChoice> allowed = fleet.choose(
+        rest, [&](const FleetWorker &worker) { return book_.isAllowed(step, worker.id); });
+    std::vector<WorkerId> workers;
+    for (const FleetChoice &choice : allowed) {
+        if (std::find(workers.begin(), workers.end(), choice.worker) == workers.end()) {
+            workers.push_back(choice.worker);
+        }
+    }
+    if (!workers.empty()) {
+        std::size_t spare = 0;
+        for (const WorkerId &worker : fleet.suited(rest)) {
+            const bool other = std::find(workers.begin(), workers.end(), worker) == workers.end();
+            if (spare < renewalSpare && other && book_.isAllowed(step, worker)) {
+                workers.push_back(worker);
+                ++spare;
+            }
+        }
+        ask(rest, terms, workers, now);
+        return;
+    }
+    ask(rest, terms, unasked(rest, mostAsked), now);
+}
+
+/// Workers with most room that the step has not asked about: enough for its tasks.
+std::vector<WorkerId> Dispatcher::unasked(const StepDemand &demand, std::size_t most) const
+{
+    std::vector<WorkerId> workers;
+    double room = 0;
+    const double wanted = static_cast<double>(demand.spec->tasks) / allowedShare;
+    for (const WorkerId &id : supervisor_->fleet().suited(demand)) {
+        if (workers.size() >= most || (workers.size() >= leastAsked && room >= wanted)) {
+            break;
+        }
+        if (book_.wasAsked(demand.step, id)) {
+            continue;
+        }
+        const FleetWorker &worker = *supervisor_->fleet().find(id);
+        const std::uint32_t size = std::max(demand.spec->size.milliCores, 1U);
+        // About half of a worker is in use.
+        room += static_cast<double>(worker.capacity.milliCores) / size / 2;
+        workers.push_back(id);
+    }
+    return workers;
+}
+
+void Dispatcher::ask(const StepDemand &demand, const TicketTerms &terms,
+    const std::vector<WorkerId> &workers, MonotonicTime now)
+{
+    if (workers.empty()) {
+        return;
+    }
+    const TaskRef step = stepRef(demand.step);
+    book_.asked(step, workers);
+    agents_.ask(step, workers, terms, now,
+        [weak = weak_from_this(), step, workers, validity = terms.validity](
+            const TicketAnswer &answer) {
+            const std::shared_ptr<Dispatcher> self = weak.lock();
+            if (!self) {
+                return;
+            }
+            if (!answer.answered) {
+                logInfo("tickets.unanswered",
+                    {{"job", step.graph.value()}, {"workers", std::uint64_t {workers.size()}}});
+                self->book_.unanswered(step, workers);
+                return;
+            }
+            const Milliseconds valid =
+                answer.validity > Milliseconds {0} ? answer.validity : validity;
+            self->book_.answered(step, workers, answer.allowed, monotonicNow() + valid);
+            self->wake();
+        });
+}
+
+/// A step whose predecessors all run asks ahead, so that its start need not wait for the answer.
+void Dispatcher::askAhead(
+    const Graph &graph, std::uint32_t occurrence, std::uint32_t step, MonotonicTime now)
+{
+    const std::vector<GraphStep> &steps = graph.occurrences[occurrence].steps;
+    for (const std::uint32_t earlier : graph.spec.steps[step].after) {
+        for (const GraphTask &task : steps[earlier].tasks) {
+            if (task.phase == TaskPhase::Waiting) {
+                return;
+            }
+        }
+    }
+    const Queue *queue = parts_.journal.state().catalog().find(graph.spec.queue);
+    if (queue == nullptr || !queue->tickets || !agents_.mayAsk(now)) {
+        return;
+    }
+    const StepDemand demand = demandOf(graph, {graph.spec.id, occurrence, step, 0});
+    const std::vector<WorkerId> suited = supervisor_->fleet().suited(demand);
+    const bool asked = std::any_of(suited.begin(), suited.end(),
+        [&](const WorkerId &worker) { return book_.wasAsked(demand.step, worker); });
+    if (!asked && !book_.isAsking(demand.step)) {
+        ask(demand, *queue->tickets, unasked(demand, mostAsked), now);
+    }
+}
+
+void Dispatcher::take(const StepDemand &demand, const Graph &graph,
+    const std::vector<FleetChoice> &chosen, MonotonicTime now)
+{
+    for (const FleetChoice &choice : chosen) {
+        TaskRef task = demand.step;
+        task.task = choice.task;
+        const RunPlacement placement {task, graph.nextRun(task), choice.worker, choice.incarnation};
+        const std::optional<Ticket> ticket =
+            book_.ticket(demand.step, choice.worker, now + ticketMargin);
+        if (ticket) {
+            ticketsOf_[task] = *ticket;
+        }
+        supervisor_->reserve(placement, *demand.spec);
+        placing_.push_back(placement);
+    }
+}
+
+void Dispatcher::record(MonotonicTime now)
+{
+    if (placing_.empty()) {
+        return;
+    }
+    now_ = now;
+    const std::vector<RunPlacement> placements = std::exchange(placing_, {});
+    parts_.propose(PlaceRuns {placements},
+        [weak = weak_from_this(), placements](const Result<ApplyReply> &reply) {
+            if (const std::shared_ptr<Dispatcher> self = weak.lock()) {
+                self->recorded(placements, reply.has_value());
+            }
+        });
+}
+
+void Dispatcher::recorded(const std::vector<RunPlacement> &placements, bool known)
+{
+    const MonotonicTime now = monotonicNow();
+    for (const RunPlacement &placement : placements) {
+        const TaskRef &task = placement.task;
+        const Graph *graph = parts_.journal.state().graphs().find(task.graph);
+        const GraphTask *recorded = graph == nullptr ? nullptr : graph->find(task);
+        const auto found = ticketsOf_.find(task);
+        std::optional<Ticket> ticket;
+        if (found != ticketsOf_.end()) {
+            ticket = found->second;
+            ticketsOf_.erase(found);
+        }
+        const bool placed = recorded != nullptr && recorded->phase == TaskPhase::Placed
+            && recorded->run == placement.run && recorded->worker == placement.worker;
+        if (placed) {
+            supervisor_->start(task, ticket, now);
+        } else if (known) {
+            supervisor_->cancelReservation(task);
+        }
+    }
+    if (!known) {
+        logWarning("dispatch.placement_unknown", {{"runs", std::uint64_t {placements.size()}}});
+    }
+}
+
+void Dispatcher::forgetTickets()
+{
+    for (const TaskRef &step : book_.steps()) {
+        const Graph *graph = parts_.journal.state().graphs().find(step.graph);
+        if (graph == nullptr || graph->state != GraphState::Open) {
+            book_.forget(step);
+        }
+    }
+}
+
+Milliseconds Dispatcher::retryAfter(const Queue & /*queue*/, const GraphSpec & /*spec*/) const
+{
+    return Milliseconds {0};
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/services/dispatcher.h
@@ -0,0 +1,80 @@
+/// The leader's scheduling of jobs that are graphs: which step runs next and where.
+///
+/// Made anew for each term. Decisions are those of the pure parts (graphorder, fleet, ticketbook);
+/// this class feeds them, records what they say and hands placements to the supervisor.
+
+#pragma once
+
+#include "src/services/runsupervisor.h"
+#include "src/services/ticketagents.h"
+
+#include <crocusmill/graphorder.h>
+
+#include <memory>
+#include <set>
+
+namespace crocusmill
+{
+
+class Dispatcher : public std::enable_shared_from_this<Dispatcher>
+{
+public:
+    struct Parts
+    {
+        asio::io_context &control;
+        Journal &journal;
+        Peers &peers;
+        WorkerLink &link;
+        TicketOffice &tickets;
+        NodeAddress self;
+        Term term;
+        RunSupervisor::Propose propose;
+    };
+
+    [[nodiscard]] static std::shared_ptr<Dispatcher> make(const Parts &parts, MonotonicTime now);
+
+    void heard(const WorkerHeartbeat &heartbeat, MonotonicTime now);
+    void left(const WorkerId &worker, const Incarnation &incarnation, MonotonicTime now);
+    void present(const NodeAddress &vm, MonotonicTime now);
+    void tick(MonotonicTime now, WallTime wall);
+    /// Decides soon, outside of the caller.
+    void wake();
+    /// Whether a job of this queue would wait so long that it had better come again later; zero:
+    /// no.
+    [[nodiscard]] Milliseconds retryAfter(const Queue &queue, const GraphSpec &spec) const;
+    [[nodiscard]] const RunSupervisor &supervisor() const;
+
+private:
+    explicit Dispatcher(const Parts &parts);
+
+    [[nodiscard]] std::vector<ReadyStep> readySteps(WallTime wall);
+    void collect(const Graph &graph, std::uint32_t occurrence, std::vector<ReadyStep> &ready);
+    [[nodiscard]] StepDemand demandOf(const Graph &graph, const TaskRef &step) const;
+    void placeStep(const ReadyStep &ready, MonotonicTime now);
+    void placeTicketed(
+        const StepDemand &demand, const Graph &graph, const TicketTerms &terms, MonotonicTime now);
+    void take(const StepDemand &demand, const Graph &graph, const std::vector<FleetChoice> &chosen,
+        MonotonicTime now);
+    void ask(const StepDemand &demand, const TicketTerms &terms,
+        const std::vector<WorkerId> &workers, MonotonicTime now);
+    void askAhead(
+        const Graph &graph, std::uint32_t occurrence, std::uint32_t step, MonotonicTime now);
+    [[nodiscard]] std::vector<WorkerId> unasked(const StepDemand &demand, std::size_t most) const;
+    void record(MonotonicTime now);
+    void recorded(const std::vector<RunPlacement> &placements, bool known);
+    void forgetTickets();
+
+    Parts parts_;
+    std::shared_ptr<RunSupervisor> supervisor_;
+    TicketAgents agents_;
+    TicketBook book_;
+    MonotonicTime now_ {};
+    bool woken_ = false;
+    // Placements that this round decided and that are not proposed yet.
+    std::vector<RunPlacement> placing_;
+    // Tickets of placements that are not started yet.
+    std::map<TaskRef, Ticket> ticketsOf_;
+    MonotonicTime forgetDue_ {};
+};
+
+} // namespace crocusmill
--- a/src/services/founding.cpp
+++ b/src/services/founding.cpp
@@ -48,11 +48,16 @@
     return found->second;
 }
 
+bool Founding::isSelf(const VoterSettings &voter) const
+{
+    return voter.address == settings_.peers.advertise;
+}
+
 void Founding::askVoters()
 {
     founders_.clear();
     for (const VoterSettings &voter : settings_.peers.voters) {
-        if (voter.vm == settings_.vm) {
+        if (isSelf(voter)) {
             answered(voter, journal_.hello());
             continue;
         }
@@ -75,11 +80,13 @@
         }
         return;
     }
-    if (hello.vm != voter.vm || hello.replica == ReplicaId {}) {
+    const bool expected = voter.vm.value().empty() || hello.vm == voter.vm;
+    if (!expected || hello.replica == ReplicaId {}) {
         return;
     }
-    founders_[voter.vm] = Member {hello.replica, voter.vm, voter.address, MemberRole::Voter};
-    const bool first = settings_.peers.voters.front().vm == settings_.vm;
+    founders_[voter.address] = Member {hello.replica, hello.vm, voter.address, MemberRole::Voter};
+    const bool mayFound = settings_.state && settings_.state->mayFound;
+    const bool first = mayFound && isSelf(settings_.peers.voters.front());
     if (first && founders_.size() == settings_.peers.voters.size() && !journal_.formed()) {
         found();
     }
@@ -88,7 +95,7 @@
 void Founding::found()
 {
     Membership membership;
-    for (const std::pair<const VmId, Member> &founder : founders_) {
+    for (const std::pair<const NodeAddress, Member> &founder : founders_) {
         membership.members.push_back(founder.second);
     }
     if (!journal_.form(membership)) {
--- a/src/services/founding.h
+++ b/src/services/founding.h
@@ -35,7 +35,9 @@
     Peers &peers_;
     Journal &journal_;
     asio::steady_timer timer_;
-    std::map<VmId, Member> founders_;
+    [[nodiscard]] bool isSelf(const VoterSettings &voter) const;
+
+    std::map<NodeAddress, Member> founders_; // those that answered and have stored nothing
     std::map<ReplicaId, NodeAddress> members_;
 };
 
--- /dev/null
+++ b/src/services/graphdesk.cpp
@@ -0,0 +1,197 @@
+/// Jobs accepted, shown, cancelled and counted.
+
+#include "src/services/graphdesk.h"
+
+#include "src/net/clock.h"
+#include "src/net/log.h"
+
+namespace crocusmill
+{
+
+namespace
+{
+
+GraphReply replyWith(GraphOutcome outcome)
+{
+    GraphReply reply;
+    reply.outcome = outcome;
+    return reply;
+}
+
+std::string_view text(GraphState state)
+{
+    switch (state) {
+    case GraphState::Open:
+        return "open";
+    case GraphState::Succeeded:
+        return "succeeded";
+    case GraphState::Failed:
+        return "failed";
+    case GraphState::Cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+GraphDesk::GraphDesk(Journal &journal, const std::shared_ptr<Dispatcher> &dispatcher)
+    : journal_(journal)
+    , dispatcher_(dispatcher)
+{
+}
+
+void GraphDesk::handle(const GraphCall &call, const ReplyHandler &done)
+{
+    const Catalog &catalog = journal_.state().catalog();
+    if (catalog.version == DocumentVersion {}) {
+        done(Reply {replyWith(GraphOutcome::NoCatalog)});
+        return;
+    }
+    const Queue *queue = catalog.find(call.host, call.path);
+    if (queue == nullptr) {
+        logInfo("queue.unknown",
+            {{"host", call.host}, {"path", call.path}, {"catalog", catalog.version.value()}});
+        done(Reply {replyWith(GraphOutcome::NoQueue)});
+        return;
+    }
+    const GraphId id {call.path.substr(queue->prefix.size())};
+    switch (call.action) {
+    case GraphAction::Submit:
+        submit(call, *queue, id, done);
+        return;
+    case GraphAction::Show:
+        show(*queue, id, done);
+        return;
+    case GraphAction::Cancel:
+        cancel(*queue, id, done);
+        return;
+    }
+}
+
+void GraphDesk::submit(
+    const GraphCall &call, const Queue &queue, const GraphId &id, const ReplyHandler &done)
+{
+    if (journal_.state().graphs().find(id) != nullptr) {
+        logInfo("job.submitted_again", {{"job", id.value()}});
+        done(Reply {replyWith(GraphOutcome::Done)});
+        return;
+    }
+    SubmitGraph command;
+    command.spec = call.spec.value_or(GraphSpec {});
+    command.spec.id = id;
+    command.spec.queue = queue.name;
+    command.spec.service = queue.service;
+    command.spec.priority = queue.priority;
+    command.spec.attempts = queue.attempts;
+    command.spec.slackFactor = queue.slackFactor;
+    command.spec.aim = queue.aim;
+    command.at = wallTimeNow();
+    const Milliseconds wait =
+        dispatcher_ ? dispatcher_->retryAfter(queue, command.spec) : Milliseconds {0};
+    if (wait > Milliseconds {0}) {
+        GraphReply reply = replyWith(GraphOutcome::Refused);
+        reply.retryAfter = wait;
+        logInfo("job.refused",
+            {{"job", id.value()}, {"queue", queue.name.value()},
+                {"retry_after_ms", static_cast<std::uint64_t>(wait.count())}});
+        done(Reply {reply});
+        return;
+    }
+    journal_.propose(command, [this, id, done, name = queue.name](const Result<ApplyReply> &reply) {
+        if (!reply) {
+            done(reply.error());
+            return;
+        }
+        logInfo("job.accepted",
+            {{"job", id.value()}, {"queue", name.value()}, {"again", reply.value().repeated}});
+        if (dispatcher_) {
+            dispatcher_->wake();
+        }
+        done(Reply {replyWith(GraphOutcome::Done)});
+    });
+}
+
+const Graph *GraphDesk::find(const Queue &queue, const GraphId &id) const
+{
+    const Graph *graph = journal_.state().graphs().find(id);
+    return graph != nullptr && graph->spec.queue == queue.name ? graph : nullptr;
+}
+
+void GraphDesk::show(const Queue &queue, const GraphId &id, const ReplyHandler &done) const
+{
+    GraphReply reply;
+    if (id.value().empty()) {
+        reply.pending = pending(queue.name);
+        done(Reply {reply});
+        return;
+    }
+    const Graph *graph = find(queue, id);
+    if (graph == nullptr) {
+        logInfo("job.unknown",
+            {{"job", id.value()}, {"queue", queue.name.value()},
+                {"applied", journal_.consensus()->appliedIndex().value()}});
+        done(Reply {replyWith(GraphOutcome::NoJob)});
+        return;
+    }
+    reply.state = graph->state;
+    reply.started = graph->started;
+    done(Reply {reply});
+}
+
+void GraphDesk::cancel(const Queue &queue, const GraphId &id, const ReplyHandler &done)
+{
+    if (find(queue, id) == nullptr) {
+        done(Reply {replyWith(GraphOutcome::NoJob)});
+        return;
+    }
+    journal_.propose(
+        CancelGraph {id, wallTimeNow()}, [this, id, done](const Result<ApplyReply> &reply) {
+            if (!reply) {
+                done(reply.error());
+                return;
+            }
+            const Graph *graph = journal_.state().graphs().find(id);
+            logInfo("job.cancelled",
+                {{"job", id.value()},
+                    {"state", graph == nullptr ? "unknown" : text(graph->state)}});
+            if (dispatcher_) {
+                dispatcher_->wake();
+            }
+            done(Reply {replyWith(GraphOutcome::Done)});
+        });
+}
+
+std::uint64_t GraphDesk::pending(const QueueName &queue) const
+{
+    std::uint64_t count = 0;
+    for (const GraphId &id : journal_.state().graphs().open()) {
+        const Graph &graph = *journal_.state().graphs().find(id);
+        count += graph.spec.queue == queue && !graph.started ? 1 : 0;
+    }
+    return count;
+}
+
+void GraphDesk::handle(const CatalogCall &call, const ReplyHandler &done)
+{
+    if (!call.install) {
+        const Catalog &catalog = journal_.state().catalog();
+        done(Reply {CatalogReply {catalog.version, catalog.source}});
+        return;
+    }
+    const DocumentVersion version = call.install->version;
+    journal_.propose(
+        InstallCatalog {*call.install}, [this, version, done](const Result<ApplyReply> &reply) {
+            if (!reply) {
+                done(reply.error());
+                return;
+            }
+            const DocumentVersion inForce = journal_.state().catalog().version;
+            logInfo("catalog.installed",
+                {{"version", version.value()}, {"in_force", inForce.value()},
+                    {"changed", !reply.value().repeated}});
+            done(Reply {CatalogReply {inForce, {}}});
+        });
+}
+
+} // namespace crocusmill
--- a/src/services/ingress.cpp
+++ b/src/services/ingress.cpp
@@ -118,7 +118,7 @@
         client_ = kernel.find<LeaderClient>(names::client);
         parts_ = std::make_unique<FlowParts>(
             FlowParts {control_, *entry_, *client_, metrics_, tracer_, settings_.entry});
-        const ForwardLimits forwardLimits {settings_.entry.connect, settings_.entry.answerBytes};
+        const HttpClientLimits forwardLimits {settings_.entry.connect, settings_.entry.answerBytes};
         for (asio::io_context *context : traffic_) {
             forwarders_[context] = std::make_unique<Forwarder>(*context, forwardLimits);
         }
--- a/src/services/interfaces.h
+++ b/src/services/interfaces.h
@@ -31,6 +31,10 @@
 inline constexpr std::string_view operators = "operators";
 inline constexpr std::string_view metrics = "metrics";
 inline constexpr std::string_view tracing = "tracing";
+inline constexpr std::string_view presence = "presence";
+inline constexpr std::string_view workerLink = "worker_link";
+inline constexpr std::string_view ticketOffice = "ticket_office";
+inline constexpr std::string_view front = "front";
 } // namespace names
 
 using ReplyHandler = std::function<void(Result<Reply>)>;
@@ -83,6 +87,8 @@
     /// Errors: PeerError.
     virtual void call(Call call, Milliseconds timeout, ReplyHandler done) = 0;
     virtual void learnReplicas(const std::vector<NodeAddress> &replicas) = 0;
+    /// VMs that the settings name; asked too while no leader is known.
+    virtual void learnSeeds(const std::vector<NodeAddress> &seeds) = 0;
 };
 
 /// Where one attempt goes.
@@ -148,6 +154,20 @@
     [[nodiscard]] virtual Readiness readiness() const = 0;
 };
 
+/// Whether this VM is in touch with a leader.
+class Presence
+{
+public:
+    virtual ~Presence() = default;
+
+    /// From now on this VM is not ready.
+    virtual void drain() = 0;
+    /// Where the leader is reached by peers, as far as this VM knows.
+    [[nodiscard]] virtual std::optional<NodeAddress> leader() const = 0;
+    /// Any thread.
+    [[nodiscard]] virtual Readiness readiness() const = 0;
+};
+
 /// Calls that only the leader answers.
 class Leader
 {
--- a/src/services/journalservice.cpp
+++ b/src/services/journalservice.cpp
@@ -23,6 +23,12 @@
 constexpr Milliseconds tickInterval {10};
 constexpr Milliseconds proposeLimit {5'000};
 
+std::size_t voterTarget(const Settings &settings)
+{
+    const std::size_t asked = settings.state ? settings.state->voters : 0;
+    return asked > 0 ? asked : settings.peers.voters.size();
+}
+
 class JournalService final : public Service, public Journal
 {
 public:
@@ -32,7 +38,7 @@
         , settings_(settings)
         , storage_(std::move(storage))
         , tick_(control)
-        , repair_(settings.peers.voters, settings.state.value_or(StateSettings {}).replaceAfter)
+        , repair_(voterTarget(settings), settings.state.value_or(StateSettings {}).replaceAfter)
     {
     }
 
--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -5,6 +5,7 @@
 #include "src/net/clock.h"
 #include "src/net/log.h"
 #include "src/net/peerstream.h"
+#include "src/services/graphdesk.h"
 #include "src/services/leadership.h"
 #include "src/services/operatorcalls.h"
 #include "src/services/reports.h"
@@ -20,13 +21,18 @@
 
 constexpr Milliseconds sweepInterval {200};
 constexpr Milliseconds forgetInterval {10'000};
+/// How long a step may wait for a decision that no event has woken.
+constexpr Milliseconds dispatchInterval {25};
 
 class LeaderService final : public Service, public Leader
 {
 public:
-    LeaderService(asio::io_context &control, const Settings &settings)
-        : settings_(settings)
+    LeaderService(asio::io_context &control, const Settings &settings, bool callsWorkers)
+        : control_(control)
+        , settings_(settings)
+        , callsWorkers_(callsWorkers)
         , sweepTimer_(control)
+        , dispatchTimer_(control)
     {
     }
 
@@ -37,7 +43,11 @@
 
     std::vector<std::string_view> needs() const override
     {
-        return {names::peers, names::journal};
+        std::vector<std::string_view> needed {names::peers, names::journal};
+        if (callsWorkers_) {
+            needed.insert(needed.end(), {names::workerLink, names::ticketOffice});
+        }
+        return needed;
     }
 
     Result<void> start(Kernel &kernel) override
@@ -45,15 +55,22 @@
         journal_ = kernel.find<Journal>(names::journal);
         recovery_ = std::make_unique<WorkRecovery>(*journal_, lead_);
         operators_ = std::make_unique<OperatorCalls>(*journal_, lead_, settings_.peers.advertise);
-        Peers *peers = kernel.find<Peers>(names::peers);
-        peers->onCall([this](const Call &call, const ReplyHandler &done) { handle(call, done); });
+        workerLink_ = kernel.find<WorkerLink>(names::workerLink);
+        ticketOffice_ = kernel.find<TicketOffice>(names::ticketOffice);
+        desk_ = std::make_unique<GraphDesk>(*journal_, dispatcher_);
+        peers_ = kernel.find<Peers>(names::peers);
+        peers_->onCall([this](const Call &call, const ReplyHandler &done) { handle(call, done); });
         scheduleSweep();
+        if (callsWorkers_) {
+            scheduleDispatch();
+        }
         return success();
     }
 
     void stop() override
     {
         sweepTimer_.cancel();
+        dispatchTimer_.cancel();
     }
 
     void handle(const Call &call, ReplyHandler done) override
@@ -66,6 +83,10 @@
             done(Reply {FormReply {journal_->form(form->membership)}});
             return;
         }
+        if (const TicketCall *ticket = std::get_if<TicketCall>(&call)) {
+            askTickets(*ticket, done);
+            return;
+        }
         if (!journal_->leads()) {
             done(Reply {Redirect {journal_->leader()}});
             return;
@@ -92,6 +113,70 @@
                 });
             },
             monotonicNow());
+        if (callsWorkers_) {
+            makeDispatcher(term);
+        }
+    }
+
+    /// Decisions of an earlier term are of no use: their proposals are gone with it.
+    void makeDispatcher(Term term)
+    {
+        const RunSupervisor::Propose propose = [this, term](
+                                                   const Command &command, ProposeHandler done) {
+            journal_->propose(command, [this, term, done](const Result<ApplyReply> &reply) {
+                if (lead_ && lead_->term == term) {
+                    done(reply);
+                }
+            });
+        };
+        dispatcher_ = Dispatcher::make({control_, *journal_, *peers_, *workerLink_, *ticketOffice_,
+                                           settings_.peers.advertise, term, propose},
+            monotonicNow());
+    }
+
+    void askTickets(const TicketCall &call, const ReplyHandler &done)
+    {
+        if (ticketOffice_ == nullptr) {
+            done(Reply {TicketReply {}});
+            return;
+        }
+        ticketOffice_->ask(call.step, call.workers, call.limit, [done](const TicketAnswer &answer) {
+            done(Reply {TicketReply {answer.answered, answer.allowed, answer.validity}});
+        });
+    }
+
+    void on(const GraphCall &call, const ReplyHandler &done)
+    {
+        desk_->handle(call, done);
+    }
+
+    void on(const CatalogCall &call, const ReplyHandler &done)
+    {
+        desk_->handle(call, done);
+    }
+
+    void on(const HeartbeatCall &call, const ReplyHandler &done)
+    {
+        if (dispatcher_ && call.leaves) {
+            dispatcher_->left(call.heartbeat.id, call.heartbeat.incarnation, monotonicNow());
+        } else if (dispatcher_) {
+            dispatcher_->heard(call.heartbeat, monotonicNow());
+        }
+        done(Reply {HeartbeatReply {settings_.peers.advertise}});
+    }
+
+    void on(const PresenceCall &call, const ReplyHandler &done)
+    {
+        journal_->offerReplica(call.vm, call.replica, call.address);
+        if (dispatcher_ && call.asksForTickets) {
+            dispatcher_->present(call.address, monotonicNow());
+        }
+        PresenceReply reply;
+        reply.leader = settings_.peers.advertise;
+        for (const Member &member : journal_->consensus()->membership().members) {
+            reply.replicas.push_back(member.address);
+        }
+        done(Reply {reply});
     }
 
     void on(const BeatCall &call, const ReplyHandler &done)
@@ -276,6 +361,9 @@
     void on(const HelloCall & /*call*/, const ReplyHandler & /*done*/)
     {
     }
+    void on(const TicketCall & /*call*/, const ReplyHandler & /*done*/)
+    {
+    }
     void on(const FormCall & /*call*/, const ReplyHandler & /*done*/)
     {
     }
@@ -291,12 +379,28 @@
                 refreshLeadership();
                 sweep();
             } else {
+                dispatcher_.reset();
                 lead_.reset();
             }
             scheduleSweep();
         });
     }
 
+    void scheduleDispatch()
+    {
+        dispatchTimer_.expires_after(dispatchInterval);
+        dispatchTimer_.async_wait([this](const boost::system::error_code &error) {
+            if (error) {
+                return;
+            }
+            if (journal_->leads()) {
+                refreshLeadership();
+                dispatcher_->tick(monotonicNow(), wallTimeNow());
+            }
+            scheduleDispatch();
+        });
+    }
+
     void sweep()
     {
         const MonotonicTime now = monotonicNow();
@@ -328,19 +432,28 @@
         record({ForgetEnded {before}});
     }
 
+    asio::io_context &control_;
     Settings settings_;
+    bool callsWorkers_;
+    Peers *peers_ = nullptr;
+    WorkerLink *workerLink_ = nullptr;
+    TicketOffice *ticketOffice_ = nullptr;
     Journal *journal_ = nullptr;
     std::unique_ptr<Leadership> lead_; // null while this VM does not lead
+    std::shared_ptr<Dispatcher> dispatcher_; // null while this VM does not lead
+    std::unique_ptr<GraphDesk> desk_;
     std::unique_ptr<WorkRecovery> recovery_;
     std::unique_ptr<OperatorCalls> operators_;
     asio::steady_timer sweepTimer_;
+    asio::steady_timer dispatchTimer_;
 };
 
 } // namespace
 
-std::unique_ptr<Service> makeLeaderService(asio::io_context &control, const Settings &settings)
+std::unique_ptr<Service> makeLeaderService(
+    asio::io_context &control, const Settings &settings, bool callsWorkers)
 {
-    return std::make_unique<LeaderService>(control, settings);
+    return std::make_unique<LeaderService>(control, settings, callsWorkers);
 }
 
 } // namespace crocusmill
--- a/src/services/leaderservice.h
+++ b/src/services/leaderservice.h
@@ -12,7 +12,8 @@
 namespace crocusmill
 {
 
+/// `callsWorkers`: there is a WorkerLink and a TicketOffice.
 [[nodiscard]] std::unique_ptr<Service> makeLeaderService(
-    asio::io_context &control, const Settings &settings);
+    asio::io_context &control, const Settings &settings, bool callsWorkers = false);
 
 } // namespace crocusmill
--- a/src/services/operators.cpp
+++ b/src/services/operators.cpp
@@ -117,12 +117,11 @@
 
     std::vector<std::string_view> needs() const override
     {
-        return {names::entry, names::client};
+        return {names::client};
     }
 
     Result<void> start(Kernel &kernel) override
     {
-        entry_ = kernel.find<Entry>(names::entry);
         client_ = kernel.find<LeaderClient>(names::client);
         server_ = std::make_unique<HttpServer>(traffic_, HttpLimits {}, *this);
         return server_->listen(settings_.operators.listen);
@@ -350,7 +349,6 @@
     Metrics &metrics_;
     Tracer &tracer_;
     std::function<void()> drain_;
-    Entry *entry_ = nullptr;
     LeaderClient *client_ = nullptr;
     std::unique_ptr<HttpServer> server_;
 };
--- a/src/services/replicarepair.cpp
+++ b/src/services/replicarepair.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-ReplicaRepair::ReplicaRepair(const std::vector<VoterSettings> &voters, Milliseconds replaceAfter)
+ReplicaRepair::ReplicaRepair(std::size_t voters, Milliseconds replaceAfter)
     : voters_(voters)
     , replaceAfter_(replaceAfter)
 {
@@ -63,7 +63,7 @@
             return Vacancy {member}; // its own disk, lost
         }
     }
-    if (consensus.membership().voterCount() < voters_.size()) {
+    if (consensus.membership().voterCount() < voters_) {
         return Vacancy {};
     }
     const std::optional<Member> silent = silentVoter(consensus);
--- a/src/services/replicarepair.h
+++ b/src/services/replicarepair.h
@@ -19,7 +19,8 @@
 class ReplicaRepair
 {
 public:
-    ReplicaRepair(const std::vector<VoterSettings> &voters, Milliseconds replaceAfter);
+    /// `voters`: how many replicas are to vote.
+    ReplicaRepair(std::size_t voters, Milliseconds replaceAfter);
 
     /// A VM beats with a replica that is no member.
     void offer(const Member &replica, const Membership &membership, MonotonicTime now);
@@ -51,7 +52,7 @@
     [[nodiscard]] static bool dismiss(const Member &learner, Consensus &consensus);
     [[nodiscard]] bool stepFor(const Member &spare, Consensus &consensus) const;
 
-    std::vector<VoterSettings> voters_; // as founded; their number stays what it is
+    std::size_t voters_; // as founded; their number stays what it is
     Milliseconds replaceAfter_;
     std::map<VmId, Offer> offers_;
 };
--- /dev/null
+++ b/src/services/runsupervisor.cpp
@@ -0,0 +1,407 @@
+/// Runs: placed, started, stopped, over.
+
+#include "src/services/runsupervisor.h"
+
+#include "src/net/clock.h"
+#include "src/net/log.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+/// A start that stays unanswered this often is settled by a stop.
+constexpr std::uint32_t mostStarts = 6;
+/// A worker that refuses orders is left alone this long, doubling with each refusal.
+constexpr Milliseconds firstRefusalPause {250};
+constexpr Milliseconds mostRefusalPause {4'000};
+
+std::string nameOf(const TaskRef &task)
+{
+    return task.graph.value() + "." + std::to_string(task.occurrence) + "."
+        + std::to_string(task.step) + "." + std::to_string(task.task);
+}
+
+std::string_view text(RunEnd end)
+{
+    switch (end) {
+    case RunEnd::Succeeded:
+        return "succeeded";
+    case RunEnd::Failed:
+        return "failed";
+    case RunEnd::Stopped:
+        return "stopped";
+    case RunEnd::Lost:
+        return "lost";
+    case RunEnd::NotStarted:
+        return "not_started";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+RunSupervisor::RunSupervisor(Parts parts, MonotonicTime now)
+    : parts_(std::move(parts))
+    , now_(now)
+    , inheritedLeases_(now
+          + std::chrono::duration_cast<Milliseconds>(parts_.times.lease / (1 - clockDrift))
+          + parts_.times.leaseMargin)
+{
+}
+
+void RunSupervisor::takeOver(MonotonicTime now)
+{
+    now_ = now;
+    for (const std::pair<const GraphId, CopyOnWrite<Graph>> &known : parts_.state.graphs().all()) {
+        const Graph &graph = *known.second;
+        TaskRef ref {known.first, 0, 0, 0};
+        for (ref.occurrence = 0; ref.occurrence < graph.occurrences.size(); ++ref.occurrence) {
+            const GraphOccurrence &occurrence = graph.occurrences[ref.occurrence];
+            for (ref.step = 0; ref.step < occurrence.steps.size(); ++ref.step) {
+                const GraphStep &step = occurrence.steps[ref.step];
+                for (ref.task = 0; ref.task < step.tasks.size(); ++ref.task) {
+                    const GraphTask &task = step.tasks[ref.task];
+                    if (task.phase == TaskPhase::Placed) {
+                        reserve({ref, task.run, task.worker, task.incarnation},
+                            graph.spec.steps[ref.step]);
+                        runs_.at(ref).stage = Stage::Adopted;
+                    }
+                }
+            }
+        }
+    }
+    logInfo("dispatch.took_over",
+        {{"runs", std::uint64_t {runs_.size()}}, {"workers", std::uint64_t {workers_.size()}},
+            {"fence", parts_.fence.value()}});
+}
+
+void RunSupervisor::reserve(const RunPlacement &placement, const StepSpec &spec)
+{
+    Run run;
+    run.placement = placement;
+    run.spec = spec;
+    runs_[placement.task] = std::move(run);
+    workerOf(placement.worker).runs.insert(placement.task);
+    fleet_.take(placement.worker, placement.task, spec);
+}
+
+void RunSupervisor::cancelReservation(const TaskRef &task)
+{
+    const auto found = runs_.find(task);
+    if (found != runs_.end() && found->second.stage == Stage::Reserved) {
+        release(overAs(found->second, RunEnd::NotStarted));
+    }
+}
+
+void RunSupervisor::start(
+    const TaskRef &task, const std::optional<Ticket> &ticket, MonotonicTime now)
+{
+    const auto found = runs_.find(task);
+    if (found == runs_.end() || found->second.stage != Stage::Reserved) {
+        return;
+    }
+    found->second.stage = Stage::Starting;
+    found->second.ticket = ticket;
+    const Worker &worker = workerOf(found->second.placement.worker);
+    if (worker.known && worker.heartbeat.incarnation != found->second.placement.incarnation) {
+        endRuns({overAs(found->second, RunEnd::NotStarted)}); // it went away meanwhile
+        return;
+    }
+    sendStart(task, found->second, now);
+}
+
+/// Proved over, or about to be: the run leaves its worker once its end is recorded.
+void RunSupervisor::release(const EndedRun &ended)
+{
+    Run *run = findRun(ended.task, ended.run);
+    if (run == nullptr) {
+        return;
+    }
+    const WorkerId worker = run->placement.worker;
+    fleet_.release(worker, ended.task, run->spec);
+    workers_.at(worker).runs.erase(ended.task);
+    runs_.erase(ended.task);
+}
+
+RunSupervisor::Run *RunSupervisor::findRun(const TaskRef &task, RunNumber number)
+{
+    const auto found = runs_.find(task);
+    const bool same = found != runs_.end() && found->second.placement.run == number;
+    return same ? &found->second : nullptr;
+}
+
+EndedRun RunSupervisor::overAs(const Run &run, RunEnd end) const
+{
+    return {run.placement.task, run.placement.run, end, {}};
+}
+
+/// Records ends that no list stated.
+void RunSupervisor::endRuns(const std::vector<EndedRun> &ended)
+{
+    std::vector<EndedRun> fresh;
+    for (const EndedRun &end : ended) {
+        Run *run = findRun(end.task, end.run);
+        if (run != nullptr && !run->ending) {
+            run->ending = true;
+            fresh.push_back(end);
+            logInfo("run.over",
+                {{"task", nameOf(end.task)}, {"run", std::uint64_t {end.run.value()}},
+                    {"worker", run->placement.worker.value()}, {"as", text(end.end)}});
+        }
+    }
+    if (fresh.empty()) {
+        return;
+    }
+    parts_.propose(EndRuns {fresh, wall_},
+        [self = shared_from_this(), fresh](const Result<ApplyReply> &reply) {
+            for (const EndedRun &end : fresh) {
+                Run *run = self->findRun(end.task, end.run);
+                if (reply) {
+                    self->release(end);
+                } else if (run != nullptr) {
+                    run->ending = false; // unknown: the same is found out and recorded again
+                }
+            }
+            self->parts_.freed();
+        });
+}
+
+void RunSupervisor::tick(MonotonicTime now, WallTime wall)
+{
+    now_ = now;
+    wall_ = wall;
+    std::vector<WorkerId> ids;
+    ids.reserve(workers_.size());
+    for (const std::pair<const WorkerId, Worker> &known : workers_) {
+        ids.push_back(known.first);
+    }
+    for (const WorkerId &id : ids) {
+        tickWorker(id, workers_.at(id), now);
+    }
+    std::vector<TaskRef> tasks;
+    tasks.reserve(runs_.size());
+    for (const std::pair<const TaskRef, Run> &known : runs_) {
+        tasks.push_back(known.first);
+    }
+    for (const TaskRef &task : tasks) {
+        const auto found = runs_.find(task);
+        if (found != runs_.end()) {
+            tickRun(task, found->second, now);
+        }
+    }
+}
+
+/// The job still wants this run to go on.
+bool RunSupervisor::isWanted(const TaskRef &task, const Run &run) const
+{
+    const Graph *graph = parts_.state.graphs().find(task.graph);
+    if (graph == nullptr || graph->state == GraphState::Failed
+        || graph->state == GraphState::Cancelled) {
+        return false;
+    }
+    return !gangIsBroken(*graph, task, run);
+}
+
+bool RunSupervisor::gangIsBroken(const Graph &graph, const TaskRef &task, const Run &run) const
+{
+    if (!run.spec.gang) {
+        return false;
+    }
+    const GraphStep &step = graph.occurrences[task.occurrence].steps[task.step];
+    return std::any_of(step.tasks.begin(), step.tasks.end(), [&run](const GraphTask &member) {
+        return member.run == run.placement.run && member.phase == TaskPhase::Waiting;
+    });
+}
+
+void RunSupervisor::tickRun(const TaskRef &task, Run &run, MonotonicTime now)
+{
+    if (run.ending || run.ordering || run.stage == Stage::Reserved || run.stage == Stage::Adopted
+        || !parts_.mayOrder()) {
+        return;
+    }
+    if (run.stage != Stage::Stopping && !isWanted(task, run)) {
+        run.stage = Stage::Stopping;
+        run.settledAt.reset();
+        run.nextOrder = now;
+    }
+    if (now < run.nextOrder) {
+        return;
+    }
+    if (run.stage == Stage::Starting) {
+        if (run.orders >= mostStarts) {
+            run.stage = Stage::Stopping;
+        } else {
+            sendStart(task, run, now);
+            return;
+        }
+    }
+    if (run.stage == Stage::Stopping && !run.settledAt) {
+        sendStop(task, run, now);
+    }
+}
+
+void RunSupervisor::sendStart(const TaskRef &task, Run &run, MonotonicTime now)
+{
+    Worker &worker = workerOf(run.placement.worker);
+    const Graph *graph = parts_.state.graphs().find(task.graph);
+    const bool sameProcess =
+        worker.known && worker.heartbeat.incarnation == run.placement.incarnation;
+    if (graph == nullptr || !sameProcess) {
+        run.nextOrder = now + parts_.times.orderPause;
+        return;
+    }
+    if (!run.deadline) {
+        run.deadline = lease(worker, now);
+    }
+    StartOrder order;
+    order.task = task;
+    order.run = run.placement.run;
+    order.payload = graph->spec.payload;
+    order.deadline = run.deadline.value_or(WorkerTime {});
+    order.fence = parts_.fence;
+    order.resume = graph->find(task)->saved;
+    order.ticket = run.ticket;
+    run.ordering = true;
+    ++run.orders;
+    parts_.link.start(endpointOf(worker), order, parts_.times.orderLimit,
+        [self = shared_from_this(), task, number = order.run, id = run.placement.worker](
+            StartOutcome outcome, std::optional<WorkerTime> clock) {
+            if (clock) {
+                self->workerOf(id).clock.observed(*clock, monotonicNow());
+            }
+            self->startAnswered(task, number, id, outcome);
+        });
+}
+
+void RunSupervisor::startAnswered(
+    const TaskRef &task, RunNumber number, const WorkerId &id, StartOutcome outcome)
+{
+    Run *run = findRun(task, number);
+    if (run == nullptr) {
+        return;
+    }
+    const MonotonicTime now = monotonicNow();
+    Worker &worker = workerOf(id);
+    run->ordering = false;
+    run->nextOrder = now + parts_.times.orderPause;
+    if (run->stage != Stage::Starting) {
+        return; // a list has shown more meanwhile
+    }
+    switch (outcome) {
+    case StartOutcome::Started:
+        run->stage = Stage::Running;
+        run->settledAt = now;
+        worker.refusals = 0;
+        return;
+    case StartOutcome::NotSent:
+        --run->orders;
+        return;
+    case StartOutcome::Unanswered:
+        return;
+    case StartOutcome::OtherIncarnation:
+        incarnationGone(id, run->placement.incarnation);
+        return;
+    case StartOutcome::Refused:
+        ++worker.refusals;
+        worker.refusedUntil = now
+            + std::min(firstRefusalPause * (1U << std::min(worker.refusals, 5U)), mostRefusalPause);
+        updateFleet(worker, now);
+        logInfo("run.refused",
+            {{"task", nameOf(task)}, {"worker", id.value()},
+                {"orders", std::uint64_t {run->orders}}});
+        if (run->orders == 1) {
+            endRuns({overAs(*run, RunEnd::NotStarted)});
+            return;
+        }
+        break; // an earlier order may still be carried out
+    case StartOutcome::Fenced:
+    case StartOutcome::Superseded:
+        logWarning("run.start_overtaken", {{"task", nameOf(task)}, {"worker", id.value()}});
+        break;
+    }
+    run->stage = Stage::Stopping;
+    run->nextOrder = now;
+}
+
+void RunSupervisor::sendStop(const TaskRef &task, Run &run, MonotonicTime now)
+{
+    Worker &worker = workerOf(run.placement.worker);
+    if (!worker.known || worker.heartbeat.incarnation != run.placement.incarnation) {
+        run.nextOrder = now + parts_.times.orderPause;
+        return;
+    }
+    run.ordering = true;
+    parts_.link.stop(endpointOf(worker), task, run.placement.run, parts_.fence,
+        parts_.times.orderLimit,
+        [self = shared_from_this(), task, number = run.placement.run](
+            StopOutcome outcome) { self->stopAnswered(task, number, outcome); });
+}
+
+void RunSupervisor::stopAnswered(const TaskRef &task, RunNumber number, StopOutcome outcome)
+{
+    Run *run = findRun(task, number);
+    if (run == nullptr) {
+        return;
+    }
+    const MonotonicTime now = monotonicNow();
+    run->ordering = false;
+    run->nextOrder = now + parts_.times.orderPause;
+    if (outcome == StopOutcome::Answered) {
+        run->settledAt = now;
+    } else if (outcome == StopOutcome::OtherIncarnation) {
+        incarnationGone(run->placement.worker, run->placement.incarnation);
+    }
+}
+
+/// Something runs that the journal does not have there.
+void RunSupervisor::stopUnknown(const WorkerId &id, const Worker &worker, const ListedRun &listed)
+{
+    logWarning("run.unknown_stopped",
+        {{"task", nameOf(listed.task)}, {"run", std::uint64_t {listed.run.value()}},
+            {"worker", id.value()}});
+    parts_.link.stop(endpointOf(worker), listed.task, listed.run, parts_.fence,
+        parts_.times.orderLimit, [](StopOutcome /*outcome*/) {});
+}
+
+const Fleet &RunSupervisor::fleet() const
+{
+    return fleet_;
+}
+
+bool RunSupervisor::holds(const TaskRef &task) const
+{
+    return runs_.contains(task);
+}
+
+std::size_t RunSupervisor::workerCount() const
+{
+    return workers_.size();
+}
+
+std::size_t RunSupervisor::runCount() const
+{
+    return runs_.size();
+}
+
+std::string RunSupervisor::describe() const
+{
+    boost::json::array list;
+    for (const std::pair<const WorkerId, Worker> &known : workers_) {
+        const Worker &worker = known.second;
+        list.push_back(boost::json::object {{"id", known.first.value()},
+            {"incarnation", worker.heartbeat.incarnation.value()},
+            {"service", worker.heartbeat.service.value()},
+            {"availability_zone", worker.heartbeat.zone.value()},
+            {"rack", worker.heartbeat.rack.value()}, {"draining", worker.heartbeat.draining},
+            {"trusted", isTrusted(worker, now_)}, {"tasks", worker.runs.size()}});
+    }
+    return boost::json::serialize(list);
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/services/runsupervisor.h
@@ -0,0 +1,169 @@
+/// Workers that are called, and the runs on them: started, renewed, stopped, and known to be over.
+///
+/// A run counts on its worker until it is proved over: its end was listed, a list that was asked
+/// for after its start or stop was answered lacks it, its worker's process is gone, or every lease
+/// that the worker may have been given has passed on its clock.
+
+#pragma once
+
+#include "src/services/interfaces.h"
+#include "src/services/workerlink.h"
+
+#include <crocusmill/announcement.h>
+#include <crocusmill/fleet.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace crocusmill
+{
+
+struct SupervisorTimes
+{
+    /// Longest lease that workers grant; they shorten longer ones.
+    Milliseconds lease {6'000};
+    /// How long a worker waits for an end before it answers.
+    Milliseconds holdWait {1'000};
+    /// Beyond the wait: network, and a worker that is slow to answer.
+    Milliseconds answerLimit {800};
+    /// An order that was not answered this long is sent again.
+    Milliseconds orderLimit {400};
+    Milliseconds orderPause {60};
+    /// A worker that did not answer this long gets no new tasks.
+    Milliseconds trust {2'600};
+    /// Added to a lease before what it covered counts as over.
+    Milliseconds leaseMargin {100};
+    /// A worker says that it leaves shortly before its process ends.
+    Milliseconds departure {1'000};
+};
+
+class RunSupervisor : public std::enable_shared_from_this<RunSupervisor>
+{
+public:
+    using Propose = std::function<void(const Command &, ProposeHandler)>;
+
+    struct Parts
+    {
+        const StateMachine &state;
+        WorkerLink &link;
+        Propose propose;
+        /// False once this VM may no longer give orders.
+        std::function<bool()> mayOrder;
+        FencingToken fence;
+        SupervisorTimes times;
+        /// Something ended, so that there may be room.
+        std::function<void()> freed;
+    };
+
+    RunSupervisor(Parts parts, MonotonicTime now);
+
+    /// Recorded placements of earlier leaders: they count until their workers were heard.
+    void takeOver(MonotonicTime now);
+    void heard(const WorkerHeartbeat &heartbeat, MonotonicTime now);
+    void left(const WorkerId &worker, const Incarnation &incarnation, MonotonicTime now);
+    void tick(MonotonicTime now, WallTime wall);
+
+    /// Room for a run whose placement is being recorded.
+    void reserve(const RunPlacement &placement, const StepSpec &spec);
+    /// The placement was not recorded.
+    void cancelReservation(const TaskRef &task);
+    /// The placement was recorded: the run is started.
+    void start(const TaskRef &task, const std::optional<Ticket> &ticket, MonotonicTime now);
+
+    [[nodiscard]] const Fleet &fleet() const;
+    [[nodiscard]] bool holds(const TaskRef &task) const;
+    [[nodiscard]] std::size_t workerCount() const;
+    [[nodiscard]] std::size_t runCount() const;
+    /// For operators: a line for each worker as JSON.
+    [[nodiscard]] std::string describe() const;
+
+private:
+    enum class Stage {
+        Reserved, // its placement is being recorded
+        Adopted, // recorded by an earlier leader; not heard of yet
+        Starting, // ordered, and not known to have begun
+        Running,
+        Stopping, // to be stopped, or to be settled by a stop
+    };
+
+    struct Run
+    {
+        RunPlacement placement;
+        StepSpec spec;
+        Stage stage = Stage::Reserved;
+        std::optional<Ticket> ticket;
+        std::optional<WorkerTime> deadline; // of the start order, the same when it is sent again
+        // A list that was asked for after this moment has the run, or the run is over.
+        std::optional<MonotonicTime> settledAt;
+        MonotonicTime nextOrder {};
+        std::uint32_t orders = 0; // sent and perhaps carried out
+        bool ordering = false; // an order is on its way
+        bool ending = false; // its end is being recorded
+    };
+
+    struct Worker
+    {
+        WorkerHeartbeat heartbeat;
+        bool known = false; // a heartbeat of this incarnation was heard
+        MonotonicTime heard {};
+        WorkerClock clock;
+        // Invariant: no lease that a leader gave this incarnation lasts longer.
+        MonotonicTime leaseOver {};
+        MonotonicTime answered {}; // when the newest answered hold was sent
+        bool holding = false;
+        MonotonicTime nextHold {};
+        std::uint32_t unanswered = 0; // holds in a row
+        EndNumber recorded; // ends up to this one are in the journal
+        std::set<TaskRef> runs;
+        std::optional<MonotonicTime> leavesAt; // it said that it leaves
+        std::uint32_t refusals = 0; // orders refused in a row
+        MonotonicTime refusedUntil {};
+    };
+
+    Worker &workerOf(const WorkerId &id);
+    [[nodiscard]] static WorkerEndpoint endpointOf(const Worker &worker);
+    void replaceIncarnation(Worker &worker, const WorkerHeartbeat &heartbeat, MonotonicTime now);
+    void incarnationGone(const WorkerId &id, const Incarnation &incarnation);
+    void updateFleet(Worker &worker, MonotonicTime now);
+    [[nodiscard]] bool isTrusted(const Worker &worker, MonotonicTime now) const;
+    [[nodiscard]] std::optional<WorkerTime> lease(Worker &worker, MonotonicTime now);
+
+    void tickWorker(const WorkerId &id, Worker &worker, MonotonicTime now);
+    void tickRun(const TaskRef &task, Run &run, MonotonicTime now);
+    [[nodiscard]] bool isWanted(const TaskRef &task, const Run &run) const;
+    [[nodiscard]] bool gangIsBroken(const Graph &graph, const TaskRef &task, const Run &run) const;
+
+    void hold(const WorkerId &id, Worker &worker, MonotonicTime now);
+    void holdAnswered(const WorkerId &id, const Incarnation &incarnation,
+        const HoldOutcome &outcome, MonotonicTime sent);
+    void takeReport(
+        const WorkerId &id, Worker &worker, const HoldReport &report, MonotonicTime sent);
+    void takeRunning(const WorkerId &id, Worker &worker, const ListedRun &listed);
+    void recordEnds(const WorkerId &id, const Incarnation &incarnation,
+        const std::vector<EndedRun> &ended, EndNumber last);
+
+    void sendStart(const TaskRef &task, Run &run, MonotonicTime now);
+    void startAnswered(
+        const TaskRef &task, RunNumber number, const WorkerId &id, StartOutcome outcome);
+    void sendStop(const TaskRef &task, Run &run, MonotonicTime now);
+    void stopAnswered(const TaskRef &task, RunNumber number, StopOutcome outcome);
+    void stopUnknown(const WorkerId &id, const Worker &worker, const ListedRun &listed);
+
+    void endRuns(const std::vector<EndedRun> &ended);
+    [[nodiscard]] EndedRun overAs(const Run &run, RunEnd end) const;
+    void release(const EndedRun &ended);
+    [[nodiscard]] Run *findRun(const TaskRef &task, RunNumber number);
+
+    Parts parts_;
+    MonotonicTime now_;
+    WallTime wall_ {};
+    MonotonicTime inheritedLeases_; // when every lease of earlier leaders is over
+    Fleet fleet_;
+    std::map<WorkerId, Worker> workers_;
+    // Invariant: each run is in its worker's `runs` and taken in fleet_.
+    std::map<TaskRef, Run> runs_;
+};
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/services/runworkers.cpp
@@ -0,0 +1,348 @@
+/// Workers: heard, held by leases, listing what runs, gone.
+
+#include "src/net/clock.h"
+#include "src/net/log.h"
+#include "src/services/runsupervisor.h"
+
+#include <algorithm>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+/// A worker that was not heard this long, and has no runs, is dropped from the list.
+constexpr Milliseconds silentWorkerKept {60'000};
+constexpr Milliseconds holdRetryPause {150};
+/// Holds in a row without an answer from which on no lease is given any more.
+constexpr std::uint32_t unansweredToLapse = 2;
+
+} // namespace
+
+RunSupervisor::Worker &RunSupervisor::workerOf(const WorkerId &id)
+{
+    const auto [place, isNew] = workers_.try_emplace(id);
+    if (isNew) {
+        place->second.heartbeat.id = id;
+        place->second.leaseOver = inheritedLeases_;
+    }
+    return place->second;
+}
+
+WorkerEndpoint RunSupervisor::endpointOf(const Worker &worker)
+{
+    return {worker.heartbeat.id, worker.heartbeat.incarnation, worker.heartbeat.address};
+}
+
+void RunSupervisor::heard(const WorkerHeartbeat &heartbeat, MonotonicTime now)
+{
+    Worker &worker = workerOf(heartbeat.id);
+    if (worker.known) {
+        const Incarnation &current = worker.heartbeat.incarnation;
+        const bool late = isNewer(current, heartbeat.incarnation)
+            || (current == heartbeat.incarnation
+                && heartbeat.sequence <= worker.heartbeat.sequence);
+        if (late) {
+            logInfo("worker.late_heartbeat",
+                {{"worker", heartbeat.id.value()}, {"incarnation", heartbeat.incarnation.value()},
+                    {"current", current.value()}, {"sequence", heartbeat.sequence}});
+            return;
+        }
+    }
+    if (!worker.known || worker.heartbeat.incarnation != heartbeat.incarnation) {
+        replaceIncarnation(worker, heartbeat, now);
+    }
+    if (worker.heartbeat.draining != heartbeat.draining) {
+        logInfo("worker.draining",
+            {{"worker", heartbeat.id.value()}, {"draining", heartbeat.draining},
+                {"remaining_ms", static_cast<std::uint64_t>(heartbeat.remaining.count())}});
+    }
+    worker.heartbeat = heartbeat;
+    worker.heard = now;
+    if (heartbeat.clock) {
+        worker.clock.observed(*heartbeat.clock, now);
+    }
+    updateFleet(worker, now);
+    hold(heartbeat.id, worker, now);
+}
+
+void RunSupervisor::replaceIncarnation(
+    Worker &worker, const WorkerHeartbeat &heartbeat, MonotonicTime now)
+{
+    logInfo("worker.heard",
+        {{"worker", heartbeat.id.value()}, {"incarnation", heartbeat.incarnation.value()},
+            {"ip", heartbeat.address.ip}, {"port", std::uint64_t {heartbeat.address.port}}});
+    // A process of the same id that started later proves that all earlier ones are gone.
+    std::vector<EndedRun> lost;
+    for (const TaskRef &task : worker.runs) {
+        const Run &run = runs_.at(task);
+        if (run.stage != Stage::Reserved && run.placement.incarnation != heartbeat.incarnation) {
+            lost.push_back(overAs(run, RunEnd::Lost));
+        }
+    }
+    if (worker.known) {
+        parts_.link.forget(endpointOf(worker));
+    }
+    worker.clock = {};
+    worker.leaseOver = worker.known ? now : inheritedLeases_;
+    worker.answered = {};
+    worker.unanswered = 0;
+    worker.recorded = {};
+    worker.holding = false;
+    worker.nextHold = now;
+    worker.leavesAt.reset();
+    worker.refusals = 0;
+    worker.refusedUntil = {};
+    worker.heartbeat = heartbeat;
+    worker.known = true;
+    endRuns(lost);
+}
+
+/// The process that answers at the worker's address is another one.
+void RunSupervisor::incarnationGone(const WorkerId &id, const Incarnation &incarnation)
+{
+    const auto found = workers_.find(id);
+    if (found == workers_.end()) {
+        return;
+    }
+    std::vector<EndedRun> lost;
+    for (const TaskRef &task : found->second.runs) {
+        const Run &run = runs_.at(task);
+        if (run.stage != Stage::Reserved && run.placement.incarnation == incarnation) {
+            lost.push_back(overAs(run, RunEnd::Lost));
+        }
+    }
+    if (found->second.known && found->second.heartbeat.incarnation == incarnation
+        && !found->second.leavesAt) {
+        logWarning("worker.gone", {{"worker", id.value()}, {"incarnation", incarnation.value()}});
+        found->second.leavesAt = now_;
+        updateFleet(found->second, now_);
+    }
+    endRuns(lost);
+}
+
+void RunSupervisor::left(const WorkerId &worker, const Incarnation &incarnation, MonotonicTime now)
+{
+    const auto found = workers_.find(worker);
+    const bool current = found != workers_.end()
+        && (incarnation.value().empty() || found->second.heartbeat.incarnation == incarnation);
+    if (!current) {
+        return;
+    }
+    logInfo("worker.leaves",
+        {{"worker", worker.value()}, {"runs", std::uint64_t {found->second.runs.size()}}});
+    found->second.leavesAt = now + parts_.times.departure;
+    updateFleet(found->second, now);
+}
+
+bool RunSupervisor::isTrusted(const Worker &worker, MonotonicTime now) const
+{
+    return worker.known && !worker.leavesAt && worker.unanswered == 0
+        && worker.answered != MonotonicTime {} && now - worker.answered <= parts_.times.trust
+        && now >= worker.refusedUntil;
+}
+
+void RunSupervisor::updateFleet(Worker &worker, MonotonicTime now)
+{
+    const WorkerHeartbeat &heartbeat = worker.heartbeat;
+    FleetWorker entry;
+    entry.id = heartbeat.id;
+    entry.incarnation = heartbeat.incarnation;
+    entry.service = heartbeat.service;
+    entry.capacity = heartbeat.capacity;
+    entry.rack = heartbeat.rack;
+    entry.labels = heartbeat.labels;
+    entry.open = isTrusted(worker, now) && !heartbeat.draining;
+    fleet_.setWorker(entry);
+}
+
+/// A deadline for the worker, remembered as the longest that it may have been given.
+std::optional<WorkerTime> RunSupervisor::lease(Worker &worker, MonotonicTime now)
+{
+    const std::optional<WorkerTime> deadline = worker.clock.deadlineAfter(parts_.times.lease, now);
+    if (deadline) {
+        worker.leaseOver = std::max(
+            worker.leaseOver, worker.clock.surelyPassed(*deadline) + parts_.times.leaseMargin);
+    }
+    return deadline;
+}
+
+void RunSupervisor::tickWorker(const WorkerId &id, Worker &worker, MonotonicTime now)
+{
+    updateFleet(worker, now);
+    if (worker.known && !worker.holding && now >= worker.nextHold) {
+        hold(id, worker, now);
+    }
+    const bool departed = worker.leavesAt && now >= *worker.leavesAt;
+    if (departed || now >= worker.leaseOver) {
+        std::vector<EndedRun> lost;
+        for (const TaskRef &task : worker.runs) {
+            const Run &run = runs_.at(task);
+            if (run.stage != Stage::Reserved) {
+                lost.push_back(overAs(run, RunEnd::Lost));
+            }
+        }
+        endRuns(lost);
+    }
+    const bool forgotten = worker.known && worker.runs.empty() && !worker.holding
+        && (departed || now - worker.heard > silentWorkerKept);
+    if (forgotten) {
+        parts_.link.forget(endpointOf(worker));
+        fleet_.remove(id);
+        workers_.erase(id);
+    }
+}
+
+void RunSupervisor::hold(const WorkerId &id, Worker &worker, MonotonicTime now)
+{
+    const bool departed = worker.leavesAt && now >= *worker.leavesAt;
+    if (!worker.known || worker.holding || now < worker.nextHold || departed
+        || !parts_.mayOrder()) {
+        return;
+    }
+    HoldOrder order;
+    order.fence = parts_.fence;
+    order.acknowledged = worker.recorded;
+    // A worker that does not answer is given no more leases, so that its runs are over some day.
+    if (worker.unanswered < unansweredToLapse) {
+        order.deadline = lease(worker, now);
+    }
+    // The first answer is needed at once: what a new leader adopts, and what has room.
+    order.wait = worker.answered == MonotonicTime {} || worker.unanswered > 0
+        ? Milliseconds {0}
+        : parts_.times.holdWait;
+    worker.holding = true;
+    parts_.link.hold(endpointOf(worker), order, order.wait + parts_.times.answerLimit,
+        [self = shared_from_this(), id, incarnation = worker.heartbeat.incarnation, now](
+            const HoldOutcome &outcome) { self->holdAnswered(id, incarnation, outcome, now); });
+}
+
+void RunSupervisor::holdAnswered(const WorkerId &id, const Incarnation &incarnation,
+    const HoldOutcome &outcome, MonotonicTime sent)
+{
+    const auto found = workers_.find(id);
+    if (found == workers_.end() || found->second.heartbeat.incarnation != incarnation) {
+        return;
+    }
+    Worker &worker = found->second;
+    const MonotonicTime now = monotonicNow();
+    worker.holding = false;
+    if (outcome.clock) {
+        worker.clock.observed(*outcome.clock, now);
+    }
+    if (outcome.error == HoldError::OtherIncarnation) {
+        worker.nextHold = now + holdRetryPause;
+        incarnationGone(id, incarnation);
+        return;
+    }
+    if (outcome.error) {
+        ++worker.unanswered;
+        worker.nextHold = now + holdRetryPause;
+        if (worker.unanswered == 1) {
+            logWarning("worker.unanswered",
+                {{"worker", id.value()}, {"fenced", outcome.error == HoldError::Fenced}});
+        }
+        updateFleet(worker, now);
+        return;
+    }
+    if (worker.unanswered > 0) {
+        logInfo("worker.answers_again",
+            {{"worker", id.value()}, {"missed", std::uint64_t {worker.unanswered}}});
+    }
+    worker.unanswered = 0;
+    worker.answered = sent;
+    worker.nextHold = now;
+    updateFleet(worker, now);
+    takeReport(id, worker, outcome.report, sent);
+}
+
+void RunSupervisor::takeReport(
+    const WorkerId &id, Worker &worker, const HoldReport &report, MonotonicTime sent)
+{
+    std::set<TaskRef> listed;
+    std::vector<EndedRun> ended;
+    EndNumber last = worker.recorded;
+    for (const ListedEnd &end : report.ended) {
+        last = std::max(last, end.number);
+        listed.insert(end.task);
+        Run *run = findRun(end.task, end.run);
+        if (run != nullptr && run->placement.worker == id) {
+            run->ending = true;
+        }
+        ended.push_back({end.task, end.run, end.end, end.saved});
+    }
+    for (const ListedRun &running : report.running) {
+        listed.insert(running.task);
+        takeRunning(id, worker, running);
+    }
+    std::vector<EndedRun> absent;
+    for (const TaskRef &task : worker.runs) {
+        Run &run = runs_.at(task);
+        const bool onThis = run.placement.incarnation == report.incarnation;
+        if (!onThis || listed.contains(task) || run.ending) {
+            continue;
+        }
+        if (run.settledAt && *run.settledAt < sent) {
+            absent.push_back(overAs(run, RunEnd::Lost));
+        } else if (run.stage == Stage::Adopted) {
+            run.stage = Stage::Stopping; // the earlier leader's order may still arrive
+        }
+    }
+    endRuns(absent);
+    if (ended.empty()) {
+        hold(id, worker, monotonicNow());
+    } else {
+        recordEnds(id, worker.heartbeat.incarnation, ended, last);
+    }
+}
+
+void RunSupervisor::takeRunning(const WorkerId &id, Worker &worker, const ListedRun &listed)
+{
+    Run *run = findRun(listed.task, listed.run);
+    if (run == nullptr || run->placement.worker != id) {
+        stopUnknown(id, worker, listed);
+        return;
+    }
+    if (run->stage == Stage::Adopted || run->stage == Stage::Starting) {
+        run->stage = Stage::Running;
+        run->settledAt = monotonicNow();
+    } else if (run->stage == Stage::Stopping && run->settledAt
+        && monotonicNow() - *run->settledAt > parts_.times.orderLimit * 2) {
+        run->settledAt.reset(); // the stop did not take: order it again
+    }
+}
+
+void RunSupervisor::recordEnds(const WorkerId &id, const Incarnation &incarnation,
+    const std::vector<EndedRun> &ended, EndNumber last)
+{
+    // The next hold acknowledges these ends, so it waits for their record.
+    Worker &worker = workers_.at(id);
+    worker.holding = true;
+    parts_.propose(EndRuns {ended, wallTimeNow()},
+        [self = shared_from_this(), id, incarnation, ended, last](const Result<ApplyReply> &reply) {
+            for (const EndedRun &end : ended) {
+                Run *run = self->findRun(end.task, end.run);
+                if (run == nullptr || run->placement.worker != id) {
+                    continue;
+                }
+                if (reply) {
+                    self->release(end);
+                } else {
+                    run->ending = false;
+                }
+            }
+            const auto found = self->workers_.find(id);
+            if (found != self->workers_.end()
+                && found->second.heartbeat.incarnation == incarnation) {
+                found->second.holding = false;
+                if (reply) {
+                    found->second.recorded = std::max(found->second.recorded, last);
+                }
+                self->hold(id, found->second, monotonicNow());
+            }
+            self->parts_.freed();
+        });
+}
+
+} // namespace crocusmill
--- a/src/settings/announcement.cpp
+++ b/src/settings/announcement.cpp
@@ -104,6 +104,13 @@
 
 } // namespace
 
+bool isNewer(const Incarnation &left, const Incarnation &right)
+{
+    const std::string &one = left.value();
+    const std::string &other = right.value();
+    return one.size() != other.size() ? one.size() > other.size() : one > other;
+}
+
 Checked<Announcement> parseAnnouncement(const UpstreamId &id, std::string_view json)
 {
     Faults faults;
--- a/src/settings/jsonchecker.cpp
+++ b/src/settings/jsonchecker.cpp
@@ -188,6 +188,19 @@
     checker.finish();
 }
 
+std::string ObjectChecker::rawObject(std::string_view name)
+{
+    const boost::json::value *json = field(name, false);
+    if (json == nullptr) {
+        return {};
+    }
+    if (!json->is_object()) {
+        fault(name, FaultKind::WrongType, "an object");
+        return {};
+    }
+    return boost::json::serialize(*json);
+}
+
 void ObjectChecker::finish()
 {
     if (object_ == nullptr) {
--- a/src/settings/jsonchecker.h
+++ b/src/settings/jsonchecker.h
@@ -44,6 +44,9 @@
     /// Calls `read` for an object that may be missing.
     void object(std::string_view name, const std::function<void(ObjectChecker &)> &read);
 
+    /// Text of an object that another part checks; empty when it is missing.
+    [[nodiscard]] std::string rawObject(std::string_view name);
+
     [[nodiscard]] bool has(std::string_view name) const;
     void fault(std::string_view name, FaultKind kind, std::string expected);
     /// Reports every field that was not read.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -56,6 +56,21 @@
     return checker.optionalMilliseconds(name, leastTime, mostTime, fallback);
 }
 
+/// VMs with a data folder of which only an address is known. All VMs listen for peers on the same
+/// port, so a port that follows the IP number is left aside.
+void readSeeds(ObjectChecker &checker, PeerSettings &peers)
+{
+    checker.array("seeds", [&](const boost::json::value &json, const std::string &pointer) {
+        const std::string_view text = json.is_string() ? std::string_view {json.get_string()} : "";
+        const std::string ip {text.substr(0, text.find(':'))};
+        if (!isIpNumber(ip)) {
+            checker.fault("seeds", FaultKind::OutOfRange, "IP numbers, not " + pointer);
+            return;
+        }
+        peers.voters.push_back({VmId {}, {ip, peers.listen.port}});
+    });
+}
+
 void readPeers(ObjectChecker &checker, PeerSettings &peers, Faults &faults)
 {
     peers.listen = readListen(checker);
@@ -76,9 +91,10 @@
         }
         peers.voters.push_back(std::move(settings));
     });
+    readSeeds(checker, peers);
     if (peers.voters.empty()) {
         checker.fault("voters", FaultKind::Missing, "at least one VM with a data folder");
-    } else if (peers.voters.size() % 2 == 0) {
+    } else if (peers.voters.size() % 2 == 0 && !peers.voters.front().vm.value().empty()) {
         checker.fault("voters", FaultKind::OutOfRange, "an odd number of VMs, best 3 or 5");
     }
 }
@@ -91,13 +107,19 @@
         checker.optionalCount("snapshot_entries", 1, mostEntries, state.snapshotEntries);
     state.keepEnded = readTime(checker, "keep_ended_ms", state.keepEnded);
     state.replaceAfter = readTime(checker, "replace_after_ms", state.replaceAfter);
+    constexpr std::uint64_t mostVoters = 9;
+    state.voters =
+        static_cast<std::uint32_t>(checker.optionalCount("voters", 0, mostVoters, state.voters));
+    state.mayFound = checker.optionalFlag("may_found", state.mayFound);
 }
 
-void readEntry(ObjectChecker &checker, EntrySettings &entry)
+void readEntry(ObjectChecker &checker, EntrySettings &entry, bool listens)
 {
     constexpr std::uint64_t mostThreads = 64;
     constexpr std::uint64_t mostConnections = 1'000'000;
-    entry.listen = readListen(checker);
+    if (listens) {
+        entry.listen = readListen(checker);
+    }
     entry.threads =
         static_cast<std::uint32_t>(checker.optionalCount("threads", 1, mostThreads, entry.threads));
     entry.connections = static_cast<std::uint32_t>(
@@ -121,6 +143,8 @@
         {{"debug", LogLevel::Debug}, {"info", LogLevel::Info}, {"warning", LogLevel::Warning},
             {"error", LogLevel::Error}},
         log.level);
+    log.output = checker.choice<LogOutput>("output",
+        {{"stderr", LogOutput::StandardError}, {"stdout", LogOutput::StandardOutput}}, log.output);
 }
 
 void readTrace(ObjectChecker &checker, TraceSettings &trace)
@@ -165,6 +189,8 @@
     settings.vm = VmId {root.requiredText("vm")};
     settings.zone = AvailabilityZone {root.requiredText("availability_zone")};
     settings.rack = RackId {root.optionalText("rack", {})};
+    settings.takesRequests = !root.has("platform");
+    settings.platform = root.rawObject("platform");
     for (const std::string_view section : {"peers", "entry", "operators"}) {
         if (!root.has(section)) {
             root.fault(section, FaultKind::Missing, "an object");
@@ -176,7 +202,9 @@
         settings.state.emplace();
         readState(checker, *settings.state);
     });
-    root.object("entry", [&](ObjectChecker &checker) { readEntry(checker, settings.entry); });
+    root.object("entry", [&](ObjectChecker &checker) {
+        readEntry(checker, settings.entry, settings.takesRequests);
+    });
     root.object(
         "announce", [&](ObjectChecker &checker) { settings.announce = readListen(checker); });
     root.object("operators", [&](ObjectChecker &checker) {
--- a/src/state/codec.cpp
+++ b/src/state/codec.cpp
@@ -18,6 +18,7 @@
     std::vector<WorkerId> quarantined;
     std::vector<UpstreamId> drainedUpstreams;
     std::vector<WorkerId> drainedWorkers;
+    Catalog catalog;
 };
 
 struct SnapshotText
@@ -25,11 +26,12 @@
     SnapshotHead head;
     std::vector<Work> work;
     std::vector<Job> jobs;
+    std::vector<Graph> graphs;
 };
 
 BOOST_DESCRIBE_STRUCT(SnapshotHead, (),
-    (configurationIndex, environments, quarantined, drainedUpstreams, drainedWorkers))
-BOOST_DESCRIBE_STRUCT(SnapshotText, (), (head, work, jobs))
+    (configurationIndex, environments, quarantined, drainedUpstreams, drainedWorkers, catalog))
+BOOST_DESCRIBE_STRUCT(SnapshotText, (), (head, work, jobs, graphs))
 
 /// Record by record, as a tree of all of them would be many times the text's size.
 template <typename T>
@@ -78,11 +80,13 @@
 std::string encodeImage(const StateImage &image)
 {
     const SnapshotHead head {image.configurationIndex, image.environments, image.quarantined,
-        image.drainedUpstreams, image.drainedWorkers};
+        image.drainedUpstreams, image.drainedWorkers, image.catalog};
     std::string text = "{\"head\":" + encodeStruct(head) + ",\"work\":";
     appendRecords(text, image.work);
     text += ",\"jobs\":";
     appendRecords(text, image.jobs);
+    text += ",\"graphs\":";
+    appendRecords(text, image.graphs);
     text += '}';
     return text;
 }
@@ -99,6 +103,8 @@
     image.quarantined.assign(quarantined_.begin(), quarantined_.end());
     image.drainedUpstreams.assign(drainedUpstreams_.begin(), drainedUpstreams_.end());
     image.drainedWorkers.assign(drainedWorkers_.begin(), drainedWorkers_.end());
+    image.catalog = catalog_;
+    image.graphs = graphs_.image();
     return image;
 }
 
@@ -128,6 +134,8 @@
     fresh.quarantined_.insert(head.quarantined.begin(), head.quarantined.end());
     fresh.drainedUpstreams_.insert(head.drainedUpstreams.begin(), head.drainedUpstreams.end());
     fresh.drainedWorkers_.insert(head.drainedWorkers.begin(), head.drainedWorkers.end());
+    fresh.catalog_ = std::move(head.catalog);
+    fresh.graphs_.restore(std::move(text.graphs));
     fresh.rebuildIndices();
     *this = std::move(fresh);
     return success();
--- /dev/null
+++ b/src/state/graphbook.cpp
@@ -0,0 +1,316 @@
+/// Transitions of recorded jobs.
+
+#include <crocusmill/graphbook.h>
+
+#include <algorithm>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+bool allSucceeded(const GraphStep &step)
+{
+    return std::all_of(step.tasks.begin(), step.tasks.end(),
+        [](const GraphTask &task) { return task.phase == TaskPhase::Succeeded; });
+}
+
+GraphOccurrence makeOccurrence(const GraphSpec &spec)
+{
+    GraphOccurrence occurrence;
+    for (const StepSpec &step : spec.steps) {
+        occurrence.steps.emplace_back().tasks.resize(step.tasks);
+    }
+    return occurrence;
+}
+
+bool hasPlaced(const Graph &graph)
+{
+    for (const GraphOccurrence &occurrence : graph.occurrences) {
+        for (const GraphStep &step : occurrence.steps) {
+            for (const GraphTask &task : step.tasks) {
+                if (task.phase == TaskPhase::Placed) {
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+const GraphTask *Graph::find(const TaskRef &ref) const
+{
+    if (ref.occurrence >= occurrences.size()
+        || ref.step >= occurrences[ref.occurrence].steps.size()) {
+        return nullptr;
+    }
+    const GraphStep &step = occurrences[ref.occurrence].steps[ref.step];
+    return ref.task < step.tasks.size() ? &step.tasks[ref.task] : nullptr;
+}
+
+bool Graph::isReady(std::uint32_t occurrence, std::uint32_t step) const
+{
+    const std::vector<std::uint32_t> &after = spec.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
+        return allSucceeded(occurrences[occurrence].steps[earlier]);
+    });
+}
+
+RunNumber Graph::nextRun(const TaskRef &ref) const
+{
+    const GraphStep &step = occurrences[ref.occurrence].steps[ref.step];
+    if (!spec.steps[ref.step].gang) {
+        return RunNumber {step.tasks[ref.task].run.value() + 1};
+    }
+    RunNumber highest;
+    for (const GraphTask &task : step.tasks) {
+        highest = std::max(highest, task.run);
+    }
+    return RunNumber {highest.value() + 1};
+}
+
+WallTime Graph::dueAt(std::uint32_t occurrence) const
+{
+    return spec.recurrence.times == 0
+        ? acceptedAt
+        : spec.recurrence.first + spec.recurrence.interval * occurrence;
+}
+
+bool GraphBook::submit(const SubmitGraph &command)
+{
+    if (graphs_.contains(command.spec.id)) {
+        return false;
+    }
+    Graph graph;
+    graph.spec = command.spec;
+    graph.acceptedAt = command.at;
+    const std::uint32_t times = std::max(command.spec.recurrence.times, 1U);
+    graph.occurrences.resize(times, makeOccurrence(command.spec));
+    graphs_.emplace(command.spec.id, CopyOnWrite<Graph> {std::move(graph)});
+    open_.insert(command.spec.id);
+    return true;
+}
+
+GraphTask *GraphBook::taskOf(Graph &graph, const TaskRef &ref)
+{
+    return graph.find(ref) == nullptr
+        ? nullptr
+        : &graph.occurrences[ref.occurrence].steps[ref.step].tasks[ref.task];
+}
+
+bool GraphBook::isPlaceable(const Graph &graph, const RunPlacement &placement)
+{
+    const GraphTask *task = graph.find(placement.task);
+    return graph.state == GraphState::Open && task != nullptr && task->phase == TaskPhase::Waiting
+        && placement.run > task->run
+        && graph.isReady(placement.task.occurrence, placement.task.step);
+}
+
+/// Every task of the gang is among the placements, under one run number.
+bool GraphBook::gangIsWhole(
+    const std::vector<RunPlacement> &placements, const RunPlacement &member) const
+{
+    const Graph &graph = *graphs_.at(member.task.graph);
+    std::set<std::uint32_t> members;
+    for (const RunPlacement &placement : placements) {
+        const bool sameStep = placement.task.graph == member.task.graph
+            && placement.task.occurrence == member.task.occurrence
+            && placement.task.step == member.task.step;
+        if (sameStep && placement.run == member.run && isPlaceable(graph, placement)) {
+            members.insert(placement.task.task);
+        }
+    }
+    return members.size() == graph.spec.steps[member.task.step].tasks;
+}
+
+void GraphBook::place(const PlaceRuns &command)
+{
+    std::vector<const RunPlacement *> possible;
+    for (const RunPlacement &placement : command.placements) {
+        const Graph *graph = find(placement.task.graph);
+        const bool may = graph != nullptr && isPlaceable(*graph, placement)
+            && (!graph->spec.steps[placement.task.step].gang
+                || gangIsWhole(command.placements, placement));
+        if (may) {
+            possible.push_back(&placement);
+        }
+    }
+    for (const RunPlacement *placement : possible) {
+        Graph &graph = graphs_.at(placement->task.graph).edit();
+        GraphTask &task = *taskOf(graph, placement->task);
+        task.phase = TaskPhase::Placed;
+        task.run = placement->run;
+        task.worker = placement->worker;
+        task.incarnation = placement->incarnation;
+        graph.started = true;
+    }
+}
+
+void GraphBook::failRun(Graph &graph, const EndedRun &ended)
+{
+    const StepSpec &spec = graph.spec.steps[ended.task.step];
+    if (spec.lasting) {
+        return;
+    }
+    GraphStep &step = graph.occurrences[ended.task.occurrence].steps[ended.task.step];
+    std::vector<RunNumber> &failed = spec.gang ? step.failed : step.tasks[ended.task.task].failed;
+    if (std::find(failed.begin(), failed.end(), ended.run) == failed.end()) {
+        failed.push_back(ended.run);
+    }
+    if (failed.size() >= graph.spec.attempts && graph.state == GraphState::Open) {
+        graph.state = GraphState::Failed;
+    }
+}
+
+void GraphBook::endRun(Graph &graph, const EndedRun &ended)
+{
+    GraphTask *task = taskOf(graph, ended.task);
+    if (task == nullptr || task->phase == TaskPhase::Succeeded) {
+        return;
+    }
+    if (ended.end == RunEnd::Failed) {
+        failRun(graph, ended); // also an older run, which was given up as lost
+    }
+    const bool current = task->run == ended.run
+        && (task->phase == TaskPhase::Placed || task->phase == TaskPhase::Waiting);
+    if (!current) {
+        return;
+    }
+    const StepSpec &spec = graph.spec.steps[ended.task.step];
+    GraphStep &step = graph.occurrences[ended.task.occurrence].steps[ended.task.step];
+    if (!ended.saved.value().empty()) {
+        task->saved = ended.saved;
+    }
+    if (ended.end == RunEnd::Succeeded && !spec.lasting) {
+        task->phase = TaskPhase::Succeeded;
+        for (GraphTask &member : step.tasks) {
+            // The members of a gang end together.
+            const bool together = spec.gang && member.run == ended.run
+                && member.phase != TaskPhase::Succeeded && member.phase != TaskPhase::GivenUp;
+            member.phase = together ? TaskPhase::Succeeded : member.phase;
+        }
+        return;
+    }
+    task->phase = graph.state == GraphState::Open ? TaskPhase::Waiting : TaskPhase::GivenUp;
+}
+
+/// Closes a job whose fate is decided.
+void GraphBook::settle(Graph &graph, WallTime at)
+{
+    if (!open_.contains(graph.spec.id)) {
+        return;
+    }
+    if (graph.state == GraphState::Failed) {
+        close(graph, GraphState::Failed, at);
+        return;
+    }
+    for (const GraphOccurrence &occurrence : graph.occurrences) {
+        if (!std::all_of(occurrence.steps.begin(), occurrence.steps.end(), allSucceeded)) {
+            return;
+        }
+    }
+    close(graph, GraphState::Succeeded, at);
+}
+
+void GraphBook::close(Graph &graph, GraphState state, WallTime at)
+{
+    graph.state = state;
+    graph.endedAt = at;
+    open_.erase(graph.spec.id);
+    ended_.push_back(graph.spec.id);
+    for (GraphOccurrence &occurrence : graph.occurrences) {
+        for (GraphStep &step : occurrence.steps) {
+            for (GraphTask &task : step.tasks) {
+                task.phase = task.phase == TaskPhase::Waiting ? TaskPhase::GivenUp : task.phase;
+            }
+        }
+    }
+}
+
+void GraphBook::end(const EndRuns &command)
+{
+    for (const EndedRun &ended : command.ended) {
+        const auto found = graphs_.find(ended.task.graph);
+        if (found != graphs_.end()) {
+            Graph &graph = found->second.edit();
+            endRun(graph, ended);
+            settle(graph, command.at);
+        }
+    }
+}
+
+bool GraphBook::cancel(const CancelGraph &command)
+{
+    const auto found = graphs_.find(command.graph);
+    if (found == graphs_.end()) {
+        return false;
+    }
+    if (found->second->state == GraphState::Open) {
+        close(found->second.edit(), GraphState::Cancelled, command.at);
+    }
+    return true;
+}
+
+void GraphBook::forget(WallTime before)
+{
+    while (!ended_.empty()) {
+        const auto found = graphs_.find(ended_.front());
+        if (found->second->endedAt >= before || hasPlaced(*found->second)) {
+            return;
+        }
+        graphs_.erase(found);
+        ended_.pop_front();
+    }
+}
+
+const Graph *GraphBook::find(const GraphId &id) const
+{
+    const auto found = graphs_.find(id);
+    return found == graphs_.end() ? nullptr : &*found->second;
+}
+
+const std::set<GraphId> &GraphBook::open() const
+{
+    return open_;
+}
+
+const std::map<GraphId, CopyOnWrite<Graph>> &GraphBook::all() const
+{
+    return graphs_;
+}
+
+std::vector<std::shared_ptr<const Graph>> GraphBook::image() const
+{
+    std::vector<std::shared_ptr<const Graph>> graphs;
+    graphs.reserve(graphs_.size());
+    for (const std::pair<const GraphId, CopyOnWrite<Graph>> &known : graphs_) {
+        if (known.second->state == GraphState::Open) {
+            graphs.push_back(known.second.share());
+        }
+    }
+    for (const GraphId &id : ended_) { // their order is kept by the image
+        graphs.push_back(graphs_.at(id).share());
+    }
+    return graphs;
+}
+
+void GraphBook::restore(std::vector<Graph> graphs)
+{
+    graphs_.clear();
+    open_.clear();
+    ended_.clear();
+    for (Graph &graph : graphs) {
+        const GraphId id = graph.spec.id;
+        if (graph.state == GraphState::Open) {
+            open_.insert(id);
+        } else {
+            ended_.push_back(id);
+        }
+        graphs_.emplace(id, CopyOnWrite<Graph> {std::move(graph)});
+    }
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/state/graphs.cpp
@@ -0,0 +1,63 @@
+/// Commands on the catalog and on jobs that are graphs.
+
+#include <crocusmill/statemachine.h>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+ApplyReply replyFor(bool changed)
+{
+    ApplyReply reply;
+    reply.repeated = !changed;
+    return reply;
+}
+
+} // namespace
+
+ApplyReply StateMachine::on(const InstallCatalog &command)
+{
+    const bool newer = command.catalog.version > catalog_.version;
+    if (newer) {
+        catalog_ = command.catalog;
+    }
+    return replyFor(newer);
+}
+
+ApplyReply StateMachine::on(const SubmitGraph &command)
+{
+    return replyFor(graphs_.submit(command));
+}
+
+ApplyReply StateMachine::on(const PlaceRuns &command)
+{
+    graphs_.place(command);
+    return {};
+}
+
+ApplyReply StateMachine::on(const EndRuns &command)
+{
+    graphs_.end(command);
+    return {};
+}
+
+ApplyReply StateMachine::on(const CancelGraph &command)
+{
+    ApplyReply reply;
+    reply.error = graphs_.cancel(command) ? StateError::None : StateError::NoSuchJob;
+    return reply;
+}
+
+const Catalog &StateMachine::catalog() const
+{
+    return catalog_;
+}
+
+const GraphBook &StateMachine::graphs() const
+{
+    return graphs_;
+}
+
+} // namespace crocusmill
--- a/src/state/workledger.cpp
+++ b/src/state/workledger.cpp
@@ -217,6 +217,7 @@
 {
     forgetWork(command.before);
     forgetJobs(command.before);
+    graphs_.forget(command.before);
     return {};
 }
 
--- a/src/wire/calljson.h
+++ b/src/wire/calljson.h
@@ -54,6 +54,22 @@
 BOOST_DESCRIBE_STRUCT(HelloReply, (), (vm, replica, formed, leader, membership))
 BOOST_DESCRIBE_STRUCT(FormCall, (), (membership))
 BOOST_DESCRIBE_STRUCT(FormReply, (), (accepted))
+BOOST_DESCRIBE_ENUM(GraphAction, Submit, Show, Cancel)
+BOOST_DESCRIBE_ENUM(GraphOutcome, Done, Refused, NoCatalog, NoQueue, NoJob)
+BOOST_DESCRIBE_STRUCT(GraphCall, (), (action, host, path, spec))
+BOOST_DESCRIBE_STRUCT(GraphReply, (), (outcome, state, started, pending, retryAfter))
+BOOST_DESCRIBE_STRUCT(WorkerHeartbeat, (),
+    (id, incarnation, address, service, zone, rack, labels, capacity, clock, sequence, draining,
+        remaining))
+BOOST_DESCRIBE_STRUCT(HeartbeatCall, (), (heartbeat, leaves))
+BOOST_DESCRIBE_STRUCT(HeartbeatReply, (), (leader))
+BOOST_DESCRIBE_STRUCT(PresenceCall, (), (vm, address, replica, asksForTickets))
+BOOST_DESCRIBE_STRUCT(PresenceReply, (), (leader, replicas))
+BOOST_DESCRIBE_STRUCT(CatalogCall, (), (install))
+BOOST_DESCRIBE_STRUCT(CatalogReply, (), (version, source))
+BOOST_DESCRIBE_STRUCT(AllowedWorker, (), (worker, ticket))
+BOOST_DESCRIBE_STRUCT(TicketCall, (), (step, workers, limit))
+BOOST_DESCRIBE_STRUCT(TicketReply, (), (answered, allowed, validity))
 BOOST_DESCRIBE_STRUCT(Redirect, (), (leader))
 
 } // namespace crocusmill
--- a/src/wire/calls.h
+++ b/src/wire/calls.h
@@ -8,6 +8,8 @@
 #include <crocusmill/announcement.h>
 #include <crocusmill/slots.h>
 #include <crocusmill/statemachine.h>
+#include <crocusmill/ticketbook.h>
+#include <crocusmill/workerclock.h>
 
 #include <cstdint>
 #include <optional>
@@ -221,6 +223,98 @@
     bool accepted = false;
 };
 
+enum class GraphAction { Submit, Show, Cancel };
+
+/// What a client asks of the queue that `host` and `path` select.
+struct GraphCall
+{
+    static constexpr const char *kind = "graph";
+    GraphAction action = GraphAction::Show;
+    std::string host;
+    std::string path; // the queue's prefix and the job's id; without an id: the queue itself
+    std::optional<GraphSpec> spec; // of a job to accept
+};
+
+enum class GraphOutcome {
+    Done, // accepted, cancelled, or the fields below say what was asked for
+    Refused, // not accepted; it never runs unless it is handed in again
+    NoCatalog, // no operator has put queues in force yet
+    NoQueue,
+    NoJob,
+};
+
+struct GraphReply
+{
+    static constexpr const char *kind = "graph_reply";
+    GraphOutcome outcome = GraphOutcome::Done;
+    GraphState state = GraphState::Open;
+    bool started = false;
+    std::optional<std::uint64_t> pending; // of the queue itself: jobs that have not started
+    Milliseconds retryAfter {0}; // with Refused
+};
+
+/// A called worker states that it is there, or that it leaves.
+struct HeartbeatCall
+{
+    static constexpr const char *kind = "heartbeat";
+    WorkerHeartbeat heartbeat;
+    bool leaves = false;
+};
+
+struct HeartbeatReply
+{
+    static constexpr const char *kind = "heartbeat_reply";
+    NodeAddress leader; // among peers
+};
+
+/// Every VM tells the leader that it is there; the reply proves that a leader is in touch.
+struct PresenceCall
+{
+    static constexpr const char *kind = "presence";
+    VmId vm;
+    NodeAddress address;
+    ReplicaId replica; // zero: no data folder
+    bool asksForTickets = false;
+};
+
+struct PresenceReply
+{
+    static constexpr const char *kind = "presence_reply";
+    NodeAddress leader;
+    std::vector<NodeAddress> replicas;
+};
+
+/// Puts a catalog in force, or reads the one in force.
+struct CatalogCall
+{
+    static constexpr const char *kind = "catalog";
+    std::optional<Catalog> install;
+};
+
+struct CatalogReply
+{
+    static constexpr const char *kind = "catalog_reply";
+    DocumentVersion version; // in force
+    std::string source; // of a read
+};
+
+/// Any VM that asks for tickets: ask about these workers.
+struct TicketCall
+{
+    static constexpr const char *kind = "ticket";
+    TaskRef step;
+    std::vector<WorkerId> workers;
+    Milliseconds limit {0};
+};
+
+struct TicketReply
+{
+    static constexpr const char *kind = "ticket_reply";
+    bool answered = false;
+    std::vector<AllowedWorker> allowed;
+    Milliseconds validity {0};
+};
+
 /// The VM asked does not lead.
 struct Redirect
 {
@@ -228,10 +322,12 @@
     std::optional<NodeAddress> leader;
 };
 
-using Call = std::variant<BeatCall, ProposeCall, AnnounceCall, WorkCall, WorkerCall, JobCall,
-    OperatorCall, HelloCall, FormCall>;
+using Call =
+    std::variant<BeatCall, ProposeCall, AnnounceCall, WorkCall, WorkerCall, JobCall, OperatorCall,
+        HelloCall, FormCall, GraphCall, HeartbeatCall, PresenceCall, CatalogCall, TicketCall>;
 using Reply = std::variant<BeatReply, ProposeReply, AnnounceReply, WorkReply, WorkerReply, JobReply,
-    OperatorReply, HelloReply, FormReply, Redirect>;
+    OperatorReply, HelloReply, FormReply, GraphReply, HeartbeatReply, PresenceReply, CatalogReply,
+    TicketReply, Redirect>;
 
 [[nodiscard]] std::string encodeCall(const Call &call);
 [[nodiscard]] Result<Call> decodeCall(std::string_view text);
--- a/test/consensus.cpp
+++ b/test/consensus.cpp
@@ -48,6 +48,41 @@
     CHECK(network.leader()->holdsLease(network.now()));
 }
 
+TEST_CASE("a replica that comes back with another tail is sent what it lacks once")
+{
+    Network network {3, 7};
+    network.runFor(Milliseconds {3000});
+    const ReplicaId old = network.leader()->self();
+    const std::string payload(1000, 'x');
+    proposeOne(network, payload);
+    network.runFor(Milliseconds {200});
+    network.cut(old, true);
+    for (int i = 0; i < 40; ++i) { // entries that nobody else gets
+        REQUIRE(network.at(old).propose(payload).has_value());
+    }
+    network.runFor(Milliseconds {3000});
+    constexpr int proposals = 1500;
+    const std::uint64_t before = network.bytesTo(old);
+    for (int i = 0; i < proposals; ++i) {
+        proposeOne(network, payload);
+        if (i % 4 == 0) {
+            network.runFor(Milliseconds {10});
+        }
+    }
+    // While it is silent, entries do not pile up on their way to it.
+    CHECK(network.bytesTo(old) - before <= 400 * payload.size());
+    network.cut(old, false);
+    const std::uint64_t healed = network.bytesTo(old);
+    for (int i = 0; i < 100; ++i) { // goes on while it catches up
+        proposeOne(network, payload);
+        proposeOne(network, payload);
+        network.runFor(Milliseconds {10});
+    }
+    CHECK(network.at(old).commitIndex() == network.leader()->commitIndex());
+    CHECK(network.bytesTo(old) - healed <= 2 * (proposals + 200) * payload.size());
+    CHECK(network.agreed());
+}
+
 TEST_CASE("a leader that is cut off loses its lease before another is elected")
 {
     Network network {3, 2};
--- a/test/fakes/network.h
+++ b/test/fakes/network.h
@@ -175,6 +175,7 @@
             for (Ready ready = replica.takeReady(); !ready.empty(); ready = replica.takeReady()) {
                 store(known.first, replica, ready);
                 for (const Message &message : ready.send) {
+                    bytesTo_[message.to] += payloadBytes(message);
                     wire_.push_back(message);
                 }
                 for (const LogEntry &entry : ready.apply) {
@@ -209,7 +210,25 @@
         return now_;
     }
 
+    /// Payload of all entries that were sent to a replica, delivered or not.
+    std::uint64_t bytesTo(ReplicaId id) const
+    {
+        const auto found = bytesTo_.find(id);
+        return found == bytesTo_.end() ? 0 : found->second;
+    }
+
 private:
+    static std::uint64_t payloadBytes(const Message &message)
+    {
+        std::uint64_t bytes = 0;
+        if (const AppendRequest *append = std::get_if<AppendRequest>(&message.body)) {
+            for (const LogEntry &entry : append->entries) {
+                bytes += entry.payload.size();
+            }
+        }
+        return bytes;
+    }
+
     void store(ReplicaId id, Consensus &replica, const Ready &ready)
     {
         Disk &disk = disks_[id];
@@ -243,6 +262,7 @@
     std::map<ReplicaId, LogIndex> applied_;
     std::set<ReplicaId> cut_;
     std::vector<Message> wire_;
+    std::map<ReplicaId, std::uint64_t> bytesTo_;
     std::map<LogIndex, LogEntry> history_;
     bool agreed_ = true;
 };
--- /dev/null
+++ b/test/fakes/workerlink.h
@@ -0,0 +1,87 @@
+/// A worker link that keeps the calls made and lets the test answer them.
+
+#pragma once
+
+#include "src/services/workerlink.h"
+
+#include <vector>
+
+namespace crocusmill::fakes
+{
+
+class FakeWorkerLink final : public WorkerLink
+{
+public:
+    struct StartCall
+    {
+        WorkerEndpoint worker;
+        StartOrder order;
+        Started done;
+    };
+    struct StopCall
+    {
+        WorkerEndpoint worker;
+        TaskRef task;
+        RunNumber run;
+        Stopped done;
+    };
+    struct HoldCall
+    {
+        WorkerEndpoint worker;
+        HoldOrder order;
+        Held done;
+    };
+
+    void start(const WorkerEndpoint &worker, const StartOrder &order, Milliseconds /*limit*/,
+        Started done) override
+    {
+        starts.push_back({worker, order, std::move(done)});
+    }
+
+    void stop(const WorkerEndpoint &worker, const TaskRef &task, RunNumber run,
+        FencingToken /*fence*/, Milliseconds /*limit*/, Stopped done) override
+    {
+        stops.push_back({worker, task, run, std::move(done)});
+    }
+
+    void hold(const WorkerEndpoint &worker, const HoldOrder &order, Milliseconds /*limit*/,
+        Held done) override
+    {
+        holds.push_back({worker, order, std::move(done)});
+    }
+
+    void forget(const WorkerEndpoint & /*worker*/) override
+    {
+    }
+
+    /// Answers the newest hold.
+    void answerHold(const HoldReport &report)
+    {
+        const Held done = holds.back().done;
+        HoldOutcome outcome;
+        outcome.clock = WorkerTime {1'000};
+        outcome.report = report;
+        outcome.report.incarnation = holds.back().worker.incarnation;
+        done(outcome);
+    }
+
+    void failHold(HoldError error)
+    {
+        const Held done = holds.back().done;
+        HoldOutcome outcome;
+        outcome.error = error;
+        done(outcome);
+    }
+
+    void answerStart(StartOutcome outcome)
+    {
+        const Started done = starts.back().done;
+        done(outcome, WorkerTime {1'000});
+    }
+
+    std::vector<StartCall> starts;
+    std::vector<StopCall> stops;
+    std::vector<HoldCall> holds;
+};
+
+} // namespace crocusmill::fakes
--- /dev/null
+++ b/test/graphbook.cpp
@@ -0,0 +1,240 @@
+/// Jobs that are graphs: accepted once, placed in order, ended as their tasks end.
+
+#include "test/fakes/graphs.h"
+
+#include <crocusmill/statemachine.h>
+
+#include <catch2/catch.hpp>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+using fakes::graphOf;
+using fakes::stepOf;
+
+const WallTime now {Milliseconds {1'000'000}};
+
+TaskRef task(std::uint32_t step, std::uint32_t number)
+{
+    return {GraphId {"g"}, 0, step, number};
+}
+
+RunPlacement placed(const TaskRef &ref, std::uint32_t run, const std::string &worker = "w")
+{
+    return {ref, RunNumber {run}, WorkerId {worker}, Incarnation {"1"}};
+}
+
+EndedRun ended(const TaskRef &ref, std::uint32_t run, RunEnd end, const std::string &saved = {})
+{
+    return {ref, RunNumber {run}, end, Checkpoint {saved}};
+}
+
+TaskPhase phaseOf(const GraphBook &book, const TaskRef &ref)
+{
+    return book.find(ref.graph)->find(ref)->phase;
+}
+
+GraphState stateOf(const GraphBook &book)
+{
+    return book.find(GraphId {"g"})->state;
+}
+
+} // namespace
+
+TEST_CASE("a job that is handed in twice is one job")
+{
+    GraphBook book;
+    CHECK(book.submit({graphOf("g", {stepOf(1)}), now}));
+    CHECK_FALSE(book.submit({graphOf("g", {stepOf(9)}), now}));
+    CHECK(book.find(GraphId {"g"})->occurrences[0].steps[0].tasks.size() == 1);
+}
+
+TEST_CASE("a step is placed only after all tasks of those before it have succeeded")
+{
+    StepSpec second = stepOf(1);
+    second.after = {0};
+    GraphBook book;
+    book.submit({graphOf("g", {stepOf(2), second}), now});
+    book.place({{placed(task(0, 0), 1), placed(task(0, 1), 1), placed(task(1, 0), 1)}});
+    CHECK(phaseOf(book, task(1, 0)) == TaskPhase::Waiting);
+    book.end({{ended(task(0, 0), 1, RunEnd::Succeeded)}, now});
+    book.place({{placed(task(1, 0), 1)}});
+    CHECK(phaseOf(book, task(1, 0)) == TaskPhase::Waiting);
+    book.end({{ended(task(0, 1), 1, RunEnd::Succeeded)}, now});
+    book.place({{placed(task(1, 0), 1)}});
+    CHECK(phaseOf(book, task(1, 0)) == TaskPhase::Placed);
+    book.end({{ended(task(1, 0), 1, RunEnd::Succeeded)}, now});
+    CHECK(stateOf(book) == GraphState::Succeeded);
+    CHECK(book.open().empty());
+}
+
+TEST_CASE("a task that is placed is not placed again, and an old run's end changes nothing")
+{
+    GraphBook book;
+    book.submit({graphOf("g", {stepOf(1)}), now});
+    book.place({{placed(task(0, 0), 1, "a")}});
+    book.place({{placed(task(0, 0), 2, "b")}});
+    CHECK(book.find(GraphId {"g"})->find(task(0, 0))->worker == WorkerId {"a"});
+    book.end({{ended(task(0, 0), 1, RunEnd::Lost)}, now});
+    book.place({{placed(task(0, 0), 1, "b")}}); // a run number is used once
+    CHECK(phaseOf(book, task(0, 0)) == TaskPhase::Waiting);
+    book.place({{placed(task(0, 0), 2, "b")}});
+    book.end({{ended(task(0, 0), 1, RunEnd::Stopped)}, now});
+    CHECK(phaseOf(book, task(0, 0)) == TaskPhase::Placed);
+}
+
+TEST_CASE("a run given up as lost that is then listed as done counts while nothing replaced it")
+{
+    GraphBook book;
+    book.submit({graphOf("g", {stepOf(1)}), now});
+    book.place({{placed(task(0, 0), 1)}});
+    book.end({{ended(task(0, 0), 1, RunEnd::Lost)}, now});
+    book.end({{ended(task(0, 0), 1, RunEnd::Succeeded)}, now});
+    CHECK(stateOf(book) == GraphState::Succeeded);
+}
+
+TEST_CASE("each failed run counts once, also one that was given up as lost")
+{
+    GraphBook book;
+    book.submit({graphOf("g", {stepOf(1)}), now}); // two attempts
+    book.place({{placed(task(0, 0), 1)}});
+    book.end({{ended(task(0, 0), 1, RunEnd::Lost)}, now});
+    book.place({{placed(task(0, 0), 2)}});
+    book.end({{ended(task(0, 0), 1, RunEnd::Failed)}, now});
+    book.end({{ended(task(0, 0), 1, RunEnd::Failed)}, now}); // listed again to a new leader
+    CHECK(stateOf(book) == GraphState::Open);
+    CHECK(phaseOf(book, task(0, 0)) == TaskPhase::Placed);
+    book.end({{ended(task(0, 0), 2, RunEnd::Failed)}, now});
+    CHECK(stateOf(book) == GraphState::Failed);
+    book.place({{placed(task(0, 0), 3)}});
+    CHECK(phaseOf(book, task(0, 0)) == TaskPhase::GivenUp);
+}
+
+TEST_CASE("stops and losses are no failures; what was saved is kept")
+{
+    GraphBook book;
+    book.submit({graphOf("g", {stepOf(1)}), now});
+    for (std::uint32_t run = 1; run < 9; ++run) {
+        book.place({{placed(task(0, 0), run)}});
+        const RunEnd end = run % 2 == 0 ? RunEnd::Stopped : RunEnd::Lost;
+        book.end({{ended(task(0, 0), run, end, run == 2 ? "half" : "")}, now});
+    }
+    CHECK(stateOf(book) == GraphState::Open);
+    CHECK(book.find(GraphId {"g"})->find(task(0, 0))->saved == Checkpoint {"half"});
+}
+
+TEST_CASE("a gang is placed whole or not at all, and ends together")
+{
+    StepSpec gang = stepOf(3);
+    gang.gang = true;
+    GraphBook book;
+    book.submit({graphOf("g", {gang}), now});
+    book.place({{placed(task(0, 0), 1), placed(task(0, 1), 1)}});
+    CHECK(phaseOf(book, task(0, 0)) == TaskPhase::Waiting);
+    book.place({{placed(task(0, 0), 1), placed(task(0, 1), 1), placed(task(0, 2), 2)}});
+    CHECK(phaseOf(book, task(0, 0)) == TaskPhase::Waiting);
+    book.place({{placed(task(0, 0), 1), placed(task(0, 1), 1), placed(task(0, 2), 1)}});
+    CHECK(phaseOf(book, task(0, 2)) == TaskPhase::Placed);
+
+    SECTION("one member's success is all members' success")
+    {
+        book.end({{ended(task(0, 1), 1, RunEnd::Succeeded)}, now});
+        CHECK(stateOf(book) == GraphState::Succeeded);
+    }
+    SECTION("members that fail in one run are one failure")
+    {
+        book.end({{ended(task(0, 0), 1, RunEnd::Failed), ended(task(0, 1), 1, RunEnd::Failed),
+                      ended(task(0, 2), 1, RunEnd::Stopped)},
+            now});
+        CHECK(stateOf(book) == GraphState::Open);
+        CHECK(book.find(GraphId {"g"})->nextRun(task(0, 0)) == RunNumber {2});
+        book.place({{placed(task(0, 0), 2), placed(task(0, 1), 2), placed(task(0, 2), 2)}});
+        book.end({{ended(task(0, 2), 2, RunEnd::Failed)}, now});
+        CHECK(stateOf(book) == GraphState::Failed);
+    }
+}
+
+TEST_CASE("a service is never over until it is cancelled")
+{
+    StepSpec lasting = stepOf(1);
+    lasting.lasting = true;
+    GraphBook book;
+    book.submit({graphOf("g", {lasting}), now});
+    const std::vector<RunEnd> ends {
+        RunEnd::Succeeded, RunEnd::Failed, RunEnd::Failed, RunEnd::Failed};
+    std::uint32_t run = 0;
+    for (const RunEnd end : ends) {
+        book.place({{placed(task(0, 0), ++run)}});
+        book.end({{ended(task(0, 0), run, end)}, now});
+        CHECK(phaseOf(book, task(0, 0)) == TaskPhase::Waiting);
+    }
+    CHECK(book.cancel({GraphId {"g"}, now}));
+    CHECK(stateOf(book) == GraphState::Cancelled);
+}
+
+TEST_CASE("a cancelled job gets no more runs, and is forgotten once none is placed")
+{
+    GraphBook book;
+    book.submit({graphOf("g", {stepOf(2)}), now});
+    book.place({{placed(task(0, 0), 1)}});
+    CHECK(book.cancel({GraphId {"g"}, now}));
+    CHECK_FALSE(book.cancel({GraphId {"other"}, now}));
+    book.place({{placed(task(0, 1), 1)}});
+    CHECK(phaseOf(book, task(0, 1)) == TaskPhase::GivenUp);
+    const WallTime later = now + Milliseconds {1};
+    book.forget(later);
+    REQUIRE(book.find(GraphId {"g"}) != nullptr);
+    book.end({{ended(task(0, 0), 1, RunEnd::Stopped)}, now});
+    CHECK(stateOf(book) == GraphState::Cancelled);
+    book.forget(later);
+    CHECK(book.find(GraphId {"g"}) == nullptr);
+}
+
+TEST_CASE("occurrences have tasks of their own and fall due one after the other")
+{
+    GraphSpec spec = graphOf("g", {stepOf(1)});
+    spec.recurrence = {3, now, Milliseconds {500}};
+    GraphBook book;
+    book.submit({spec, now});
+    const Graph &graph = *book.find(GraphId {"g"});
+    REQUIRE(graph.occurrences.size() == 3);
+    CHECK(graph.dueAt(2) == now + Milliseconds {1'000});
+}
+
+TEST_CASE("queues and jobs are the same after a snapshot")
+{
+    StateMachine machine;
+    Catalog catalog;
+    catalog.version = DocumentVersion {4};
+    catalog.source = "{\"version\":4}";
+    Queue queue;
+    queue.name = QueueName {"quotes"};
+    queue.tickets = TicketTerms {Milliseconds {9}, Microseconds {130}, Milliseconds {1'500}};
+    catalog.queues.push_back(queue);
+    std::uint64_t index = 1;
+    const auto apply = [&](const Command &command) {
+        return machine.applyEncoded(encodeCommand(command), LogIndex {++index});
+    };
+    CHECK_FALSE(apply(InstallCatalog {catalog}).repeated);
+    catalog.version = DocumentVersion {3};
+    catalog.source = "older";
+    CHECK(apply(InstallCatalog {catalog}).repeated);
+    apply(SubmitGraph {graphOf("g", {stepOf(2)}), now});
+    apply(SubmitGraph {graphOf("h", {stepOf(1)}), now});
+    apply(PlaceRuns {{placed(task(0, 0), 1)}});
+    apply(CancelGraph {GraphId {"h"}, now});
+    StateMachine other;
+    REQUIRE(other.restore(machine.snapshot()).has_value());
+    CHECK(other.catalog().version == DocumentVersion {4});
+    CHECK(other.catalog().source == "{\"version\":4}");
+    REQUIRE(other.catalog().find(QueueName {"quotes"}) != nullptr);
+    CHECK(other.catalog().find(QueueName {"quotes"})->tickets->perWorker == Microseconds {130});
+    CHECK(phaseOf(other.graphs(), task(0, 0)) == TaskPhase::Placed);
+    CHECK(other.graphs().open().size() == 1);
+    CHECK(other.snapshot() == machine.snapshot());
+}
+
+} // namespace crocusmill
--- a/test/replicarepair.cpp
+++ b/test/replicarepair.cpp
@@ -68,7 +68,7 @@
     }
 
     fakes::Network network {voterCount, 7};
-    ReplicaRepair repair {founders(), replaceAfter};
+    ReplicaRepair repair {founders().size(), replaceAfter};
     std::vector<Member> beating;
 };
 
--- /dev/null
+++ b/test/runsupervisor.cpp
@@ -0,0 +1,288 @@
+/// Runs on workers that answer late, twice, wrongly or not at all.
+
+#include "src/net/clock.h"
+#include "src/services/runsupervisor.h"
+#include "test/fakes/graphs.h"
+#include "test/fakes/workerlink.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+using fakes::FakeWorkerLink;
+using fakes::graphOf;
+using fakes::stepOf;
+
+const WallTime wall {Milliseconds {1'000'000}};
+const WorkerId worker {"w"};
+const Incarnation first {"1000"};
+const Incarnation second {"2000"};
+const TaskRef task {GraphId {"g"}, 0, 0, 0};
+
+/// A supervisor whose journal applies at once.
+struct Bench
+{
+    explicit Bench(bool takesOver = false)
+    {
+        state.apply(SubmitGraph {graphOf("g", {stepOf(1)}), wall}, LogIndex {1});
+        if (takesOver) {
+            record();
+        }
+        supervisor = std::make_shared<RunSupervisor>(
+            RunSupervisor::Parts {state, link,
+                [this](const Command &command, const ProposeHandler &done) {
+                    done(state.apply(command, LogIndex {++index}));
+                },
+                [this]() { return mayOrder; }, FencingToken {7}, SupervisorTimes {}, []() {}},
+            start);
+        supervisor->takeOver(start);
+    }
+
+    void record(std::uint32_t run = 1)
+    {
+        state.apply(PlaceRuns {{{task, RunNumber {run}, worker, first}}}, LogIndex {++index});
+    }
+
+    void hear(const Incarnation &incarnation = first, std::uint64_t sequence = 1)
+    {
+        WorkerHeartbeat heartbeat;
+        heartbeat.id = worker;
+        heartbeat.incarnation = incarnation;
+        heartbeat.sequence = sequence;
+        heartbeat.capacity.milliCores = 4'000;
+        heartbeat.clock = WorkerTime {1'000};
+        heartbeat.service = ServiceName {"matching"};
+        supervisor->heard(heartbeat, monotonicNow());
+    }
+
+    /// Places and starts run 1 on a worker that has answered.
+    void begin()
+    {
+        hear();
+        link.answerHold({});
+        supervisor->reserve({task, RunNumber {1}, worker, first}, stepOf(1));
+        record();
+        supervisor->start(task, std::nullopt, monotonicNow());
+    }
+
+    /// Time as far as rounds are concerned; answers are stamped with the real one.
+    void tick(Milliseconds later)
+    {
+        supervisor->tick(monotonicNow() + later, wall);
+    }
+
+    TaskPhase phase() const
+    {
+        return state.graphs().find(task.graph)->find(task)->phase;
+    }
+
+    static HoldReport running(std::uint32_t run = 1)
+    {
+        HoldReport report;
+        report.running.push_back({task, RunNumber {run}, {}, 100});
+        return report;
+    }
+
+    static HoldReport ended(RunEnd end, std::uint64_t number = 1)
+    {
+        HoldReport report;
+        report.ended.push_back({EndNumber {number}, task, RunNumber {1}, end, {}});
+        return report;
+    }
+
+    StateMachine state;
+    FakeWorkerLink link;
+    std::uint64_t index = 1;
+    bool mayOrder = true;
+    MonotonicTime start = monotonicNow();
+    std::shared_ptr<RunSupervisor> supervisor;
+};
+
+void pause()
+{
+    std::this_thread::sleep_for(Milliseconds {3}); // so that the next hold is sent later
+}
+
+} // namespace
+
+TEST_CASE("an end is acknowledged to the worker only after it is recorded")
+{
+    Bench bench;
+    bench.begin();
+    bench.link.answerStart(StartOutcome::Started);
+    CHECK(bench.link.holds.back().order.acknowledged == EndNumber {0});
+    bench.link.answerHold(Bench::ended(RunEnd::Succeeded, 5));
+    CHECK(bench.phase() == TaskPhase::Succeeded);
+    CHECK(bench.link.holds.back().order.acknowledged == EndNumber {5});
+    CHECK_FALSE(bench.supervisor->holds(task));
+}
+
+TEST_CASE("an unanswered start is sent again as it was, and nothing else replaces it")
+{
+    Bench bench;
+    bench.begin();
+    REQUIRE(bench.link.starts.size() == 1);
+    const StartOrder order = bench.link.starts[0].order;
+    bench.link.answerStart(StartOutcome::Unanswered);
+    bench.tick(Milliseconds {200});
+    REQUIRE(bench.link.starts.size() == 2);
+    CHECK(bench.link.starts[1].order.run == order.run);
+    CHECK(bench.link.starts[1].order.deadline == order.deadline);
+    CHECK(bench.phase() == TaskPhase::Placed);
+    CHECK(bench.supervisor->holds(task));
+}
+
+TEST_CASE("a refused start is free at once, unless an earlier order may still be carried out")
+{
+    Bench bench;
+    bench.begin();
+    SECTION("the only order")
+    {
+        bench.link.answerStart(StartOutcome::Refused);
+        CHECK(bench.phase() == TaskPhase::Waiting);
+        CHECK_FALSE(bench.supervisor->holds(task));
+    }
+    SECTION("after one without an answer")
+    {
+        bench.link.answerStart(StartOutcome::Unanswered);
+        bench.tick(Milliseconds {200});
+        bench.link.answerStart(StartOutcome::Refused);
+        CHECK(bench.phase() == TaskPhase::Placed);
+        bench.tick(Milliseconds {300});
+        REQUIRE(bench.link.stops.size() == 1);
+        bench.link.answerHold({}); // this list was asked for before the stop was answered
+        CHECK(bench.phase() == TaskPhase::Placed);
+        bench.link.stops[0].done(StopOutcome::Answered);
+        bench.link.answerHold({}); // so was this one
+        CHECK(bench.phase() == TaskPhase::Placed);
+        pause();
+        bench.link.answerHold({});
+        pause();
+        bench.link.answerHold({});
+        CHECK(bench.phase() == TaskPhase::Waiting);
+    }
+}
+
+TEST_CASE("a list that was asked for before the start was answered proves nothing")
+{
+    Bench bench;
+    bench.begin();
+    pause();
+    bench.link.answerStart(StartOutcome::Started);
+    bench.link.answerHold({});
+    CHECK(bench.phase() == TaskPhase::Placed);
+    pause();
+    bench.link.answerHold({}); // this one was asked for afterwards
+    CHECK(bench.phase() == TaskPhase::Waiting);
+}
+
+TEST_CASE("a silent worker's runs are over only with its longest lease")
+{
+    Bench bench;
+    bench.begin();
+    bench.link.answerStart(StartOutcome::Started);
+    for (int i = 0; i < 4; ++i) { // from some point on it is given no more leases
+        bench.link.failHold(HoldError::Unanswered);
+        bench.tick(Milliseconds {300});
+    }
+    CHECK_FALSE(bench.link.holds.back().order.deadline.has_value());
+    bench.tick(Milliseconds {5'900});
+    CHECK(bench.phase() == TaskPhase::Placed);
+    bench.tick(Milliseconds {6'900});
+    CHECK(bench.phase() == TaskPhase::Waiting);
+}
+
+TEST_CASE("a later process of the same id proves the earlier one gone; a late word of that does not")
+{
+    Bench bench;
+    bench.begin();
+    bench.link.answerStart(StartOutcome::Started);
+    bench.hear(second);
+    CHECK(bench.phase() == TaskPhase::Waiting);
+    const std::size_t holds = bench.link.holds.size();
+    bench.hear(first, 9);
+    CHECK(bench.link.holds.size() == holds);
+    CHECK(bench.link.holds.back().worker.incarnation == second);
+}
+
+TEST_CASE("a new leader adopts what runs and settles what it does not find")
+{
+    Bench bench {true};
+    CHECK(bench.supervisor->holds(task));
+    bench.hear();
+    SECTION("it runs")
+    {
+        bench.link.answerHold(Bench::running());
+        bench.tick(Milliseconds {100});
+        CHECK(bench.link.stops.empty());
+        CHECK(bench.link.starts.empty());
+        CHECK(bench.phase() == TaskPhase::Placed);
+    }
+    SECTION("it is not there: the earlier leader's order may still arrive")
+    {
+        bench.link.answerHold({});
+        CHECK(bench.phase() == TaskPhase::Placed);
+        bench.tick(Milliseconds {100});
+        REQUIRE(bench.link.stops.size() == 1);
+        bench.link.stops[0].done(StopOutcome::Answered);
+        pause();
+        bench.link.answerHold({});
+        pause();
+        bench.link.answerHold({});
+        CHECK(bench.phase() == TaskPhase::Waiting);
+    }
+    SECTION("its worker is never heard")
+    {
+        Bench silent {true};
+        silent.tick(Milliseconds {5'900});
+        CHECK(silent.phase() == TaskPhase::Placed);
+        silent.tick(Milliseconds {6'500});
+        CHECK(silent.phase() == TaskPhase::Waiting);
+    }
+}
+
+TEST_CASE("what runs without a record is stopped")
+{
+    Bench bench;
+    bench.hear();
+    bench.link.answerHold(Bench::running(3));
+    REQUIRE(bench.link.stops.size() == 1);
+    CHECK(bench.link.stops[0].run == RunNumber {3});
+}
+
+TEST_CASE("a cancelled job's run is stopped until its end is listed, and holds its room so long")
+{
+    Bench bench;
+    bench.begin();
+    bench.link.answerStart(StartOutcome::Started);
+    bench.state.apply(CancelGraph {task.graph, wall}, LogIndex {++bench.index});
+    bench.tick(Milliseconds {200});
+    REQUIRE(bench.link.stops.size() == 1);
+    bench.link.stops[0].done(StopOutcome::Unanswered);
+    bench.tick(Milliseconds {400});
+    REQUIRE(bench.link.stops.size() == 2);
+    CHECK(bench.supervisor->holds(task));
+    bench.link.answerHold(Bench::ended(RunEnd::Stopped));
+    CHECK_FALSE(bench.supervisor->holds(task));
+}
+
+TEST_CASE("a VM that leads no more gives no orders and renews no leases")
+{
+    Bench bench;
+    bench.begin();
+    bench.mayOrder = false;
+    const std::size_t holds = bench.link.holds.size();
+    bench.link.answerHold({});
+    bench.link.answerStart(StartOutcome::Unanswered);
+    bench.tick(Milliseconds {500});
+    CHECK(bench.link.holds.size() == holds);
+    CHECK(bench.link.starts.size() == 1);
+}
+
+} // namespace crocusmill
