The next leader knows the workers; drains are recorded; bad workers are left out

Workers that fail all they start or on which tasks stand still drew task after task. A worker that said that it leaves was only known to the leader that heard it.

Ruled out: order and room (half of the cores were free), the ticket office (49% of what all VMs may ask), the disk.

A later process of a worker is asked for its predecessor's runs before they are over: an order may have reached it. A replica whose disk refuses a write ends, to read its folder again. A line for each decision on a step; metrics on an address of their own.

--- a/include/crocusmill/settings.h
+++ b/include/crocusmill/settings.h
@@ -117,6 +117,7 @@
     bool takesRequests = true;
     std::optional<NodeAddress> announce; // absent: announcements come to the entry's port
     OperatorSettings operators;
+    std::optional<NodeAddress> metrics; // absent: only on the operators' port
     /// Settings of the adapter to a platform, which checks them itself; empty: none.
     std::string platform;
     LogSettings log;
--- a/include/crocusmill/statemachine.h
+++ b/include/crocusmill/statemachine.h
@@ -114,6 +114,7 @@
     std::vector<UpstreamId> drainedUpstreams;
     std::vector<WorkerId> drainedWorkers;
     Catalog catalog;
+    std::vector<NoteLeaving> leaving;
     std::vector<std::shared_ptr<const Graph>> graphs;
 };
 
@@ -146,6 +147,8 @@
     [[nodiscard]] const std::set<WorkerId> &drainedWorkers() const;
     [[nodiscard]] const Catalog &catalog() const;
     [[nodiscard]] const GraphBook &graphs() const;
+    /// The process said that it leaves.
+    [[nodiscard]] bool isLeaving(const WorkerId &worker, const Incarnation &incarnation) const;
     [[nodiscard]] std::uint64_t reservedCores(
         const EnvironmentName &environment, const TeamName &team) const;
 
@@ -177,6 +180,7 @@
     ApplyReply on(const PlaceRuns &command);
     ApplyReply on(const EndRuns &command);
     ApplyReply on(const CancelGraph &command);
+    ApplyReply on(const NoteLeaving &command);
 
     [[nodiscard]] bool hostTaken(const Document &document) const;
     [[nodiscard]] Work *mutableWork(const WorkId &id);
@@ -204,6 +208,7 @@
     std::set<WorkerId> drainedWorkers_;
     Catalog catalog_;
     GraphBook graphs_;
+    std::map<WorkerId, NoteLeaving> leaving_; // the newest process of each worker
     // Derived from work_: keys, attempts that are not over, and work that has not ended.
     std::map<std::pair<EnvironmentName, IdempotencyKey>, WorkId> keys_;
     std::map<AttemptId, WorkId> attempts_;
--- a/include/crocusmill/taskgraph.h
+++ b/include/crocusmill/taskgraph.h
@@ -130,6 +130,15 @@
     WallTime at;
 };
 
+/// A worker said that it leaves: it gets no new tasks, whoever leads.
+struct NoteLeaving
+{
+    static constexpr const char *kind = "note_leaving";
+    WorkerId worker;
+    Incarnation incarnation;
+    WallTime at;
+};
+
 struct CancelGraph
 {
     static constexpr const char *kind = "cancel_graph";
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -8,6 +8,7 @@
 #include "src/services/entryservice.h"
 #include "src/services/journalservice.h"
 #include "src/services/leaderservice.h"
+#include "src/services/metricsservice.h"
 #include "src/services/operators.h"
 #include "src/services/peerservice.h"
 #include "src/services/presence.h"
@@ -110,6 +111,9 @@
         BOOST_OUTCOME_TRY(platform::addServices(
             kernel_, {control, traffic, metrics_, settings_.entry}, settings_.platform));
     }
+    if (settings_.metrics) {
+        kernel_.add(makeMetricsService(traffic, *settings_.metrics, metrics_));
+    }
     kernel_.add(makeOperatorService(control, traffic, settings_, token, metrics_, tracer_,
         [this]() { asio::post(loop_.context(), [this]() { beginShutdown(); }); }));
     return kernel_.start();
--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -245,7 +245,7 @@
     const TaskRef step = stepRef(demand.step);
     book_.asked(step, workers);
     agents_.ask(step, workers, terms, now,
-        [weak = weak_from_this(), step, workers, validity = terms.validity](
+        [weak = weak_from_this(), step, workers, validity = terms.validity, asked = now](
             const TicketAnswer &answer) {
             const std::shared_ptr<Dispatcher> self = weak.lock();
             if (!self) {
@@ -259,7 +259,15 @@
             }
             const Milliseconds valid =
                 answer.validity > Milliseconds {0} ? answer.validity : validity;
-            self->book_.answered(step, workers, answer.allowed, monotonicNow() + valid);
+            const MonotonicTime now = monotonicNow();
+            logInfo("tickets.answered",
+                {{"job", step.graph.value()}, {"step", std::uint64_t {step.step}},
+                    {"workers", std::uint64_t {workers.size()}},
+                    {"allowed", std::uint64_t {answer.allowed.size()}},
+                    {"took_ms",
+                        static_cast<std::uint64_t>(
+                            std::chrono::duration_cast<Milliseconds>(now - asked).count())}});
+            self->book_.answered(step, workers, answer.allowed, now + valid);
             self->wake();
         });
 }
@@ -292,6 +300,9 @@
 void Dispatcher::take(const StepDemand &demand, const Graph &graph,
     const std::vector<FleetChoice> &chosen, MonotonicTime now)
 {
+    if (!chosen.empty()) {
+        logPlaced(demand, graph, chosen);
+    }
     for (const FleetChoice &choice : chosen) {
         TaskRef task = demand.step;
         task.task = choice.task;
@@ -306,6 +317,23 @@
     }
 }
 
+/// One line for a step, whatever its width.
+void Dispatcher::logPlaced(
+    const StepDemand &demand, const Graph &graph, const std::vector<FleetChoice> &chosen) const
+{
+    constexpr std::uint64_t milliPerCore = 1000;
+    const Fleet &fleet = supervisor_->fleet();
+    const Milliseconds waited = wallTimeNow() - graph.dueAt(demand.step.occurrence);
+    logInfo("step.placed",
+        {{"job", demand.step.graph.value()}, {"step", std::uint64_t {demand.step.step}},
+            {"tasks", std::uint64_t {chosen.size()}}, {"of", std::uint64_t {demand.waiting.size()}},
+            {"first_worker", chosen.front().worker.value()},
+            {"since_due_ms", static_cast<std::uint64_t>(waited.count())},
+            {"cores_open", fleet.openMilliCores(demand.service) / milliPerCore},
+            {"cores_used", fleet.usedMilliCores(demand.service) / milliPerCore},
+            {"term", parts_.term.value()}});
+}
+
 void Dispatcher::record(MonotonicTime now)
 {
     if (placing_.empty()) {
--- a/src/services/dispatcher.h
+++ b/src/services/dispatcher.h
@@ -55,6 +55,8 @@
         const StepDemand &demand, const Graph &graph, const TicketTerms &terms, MonotonicTime now);
     void take(const StepDemand &demand, const Graph &graph, const std::vector<FleetChoice> &chosen,
         MonotonicTime now);
+    void logPlaced(
+        const StepDemand &demand, const Graph &graph, const std::vector<FleetChoice> &chosen) const;
     void ask(const StepDemand &demand, const TicketTerms &terms,
         const std::vector<WorkerId> &workers, MonotonicTime now);
     void askAhead(
--- a/src/services/interfaces.h
+++ b/src/services/interfaces.h
@@ -175,6 +175,8 @@
     virtual ~Leader() = default;
 
     virtual void handle(const Call &call, ReplyHandler done) = 0;
+    /// Workers that the leader has heard lately; of use once this VM leads.
+    virtual void learnWorkers(const std::vector<WorkerHeartbeat> &workers) = 0;
 };
 
 } // namespace crocusmill
--- a/src/services/journalservice.cpp
+++ b/src/services/journalservice.cpp
@@ -12,6 +12,7 @@
 
 #include <boost/asio/thread_pool.hpp>
 
+#include <csignal>
 #include <random>
 
 namespace crocusmill
@@ -292,8 +293,14 @@
 
     void fail(const std::error_code &error)
     {
-        // What could not be stored was not promised either: the replica falls silent.
+        // What could not be stored was not promised either: the replica falls silent. A full disk
+        // may have room again later; whoever watches the process starts it anew, and what the
+        // folder holds is read again.
+        if (failed_) {
+            return;
+        }
         failed_ = true;
+        std::raise(SIGTERM);
         logError("journal.failed", {{"error", error}});
         proposals_.failAll(error);
     }
--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -95,6 +95,11 @@
         std::visit([this, &done](const auto &body) { on(body, done); }, call);
     }
 
+    void learnWorkers(const std::vector<WorkerHeartbeat> &workers) override
+    {
+        workers_ = workers;
+    }
+
 private:
     void refreshLeadership()
     {
@@ -132,6 +137,10 @@
         dispatcher_ = Dispatcher::make({control_, *journal_, *peers_, *workerLink_, *ticketOffice_,
                                            settings_.peers.advertise, term, propose},
             monotonicNow());
+        // Leases of what runs are short: it is looked for where the last leader knew it to be.
+        for (const WorkerHeartbeat &worker : workers_) {
+            dispatcher_->heard(worker, monotonicNow());
+        }
     }
 
     void askTickets(const TicketCall &call, const ReplyHandler &done)
@@ -162,9 +171,27 @@
         } else if (dispatcher_) {
             dispatcher_->heard(call.heartbeat, monotonicNow());
         }
+        const WorkerHeartbeat &heard = call.heartbeat;
+        if (heard.draining && !journal_->state().isLeaving(heard.id, heard.incarnation)) {
+            noteLeaving(heard, done);
+            return;
+        }
         done(Reply {HeartbeatReply {settings_.peers.advertise}});
     }
 
+    /// Once this is acknowledged, no later leader may start anything there either.
+    void noteLeaving(const WorkerHeartbeat &worker, const ReplyHandler &done)
+    {
+        journal_->propose(NoteLeaving {worker.id, worker.incarnation, wallTimeNow()},
+            [this, done](const Result<ApplyReply> &reply) {
+                if (reply) {
+                    done(Reply {HeartbeatReply {settings_.peers.advertise}});
+                } else {
+                    done(reply.error());
+                }
+            });
+    }
+
     void on(const PresenceCall &call, const ReplyHandler &done)
     {
         journal_->offerReplica(call.vm, call.replica, call.address);
@@ -176,6 +203,9 @@
         for (const Member &member : journal_->consensus()->membership().members) {
             reply.replicas.push_back(member.address);
         }
+        if (dispatcher_ && call.wantsWorkers) {
+            reply.workers = dispatcher_->supervisor().heardLately();
+        }
         done(Reply {reply});
     }
 
@@ -435,6 +465,7 @@
     asio::io_context &control_;
     Settings settings_;
     bool callsWorkers_;
+    std::vector<WorkerHeartbeat> workers_; // as the last leader listed them
     Peers *peers_ = nullptr;
     WorkerLink *workerLink_ = nullptr;
     TicketOffice *ticketOffice_ = nullptr;
--- a/src/services/presence.cpp
+++ b/src/services/presence.cpp
@@ -17,6 +17,8 @@
 constexpr Milliseconds beatLimit {1'000};
 /// Without an answer this long the VM counts as cut off. Two beats may get lost.
 constexpr Milliseconds touchLife {2'000};
+/// Every so many beats a replica asks for the workers as well.
+constexpr std::uint64_t beatsPerList = 3;
 
 class PresenceService final : public Service, public Presence
 {
@@ -38,12 +40,13 @@
 
     std::vector<std::string_view> needs() const override
     {
-        return {names::client};
+        return {names::client, names::leader};
     }
 
     Result<void> start(Kernel &kernel) override
     {
         client_ = kernel.find<LeaderClient>(names::client);
+        leaderService_ = kernel.find<Leader>(names::leader);
         beat();
         return success();
     }
@@ -74,6 +77,7 @@
     void beat()
     {
         const MonotonicTime asked = monotonicNow();
+        call_.wantsWorkers = call_.replica != ReplicaId {} && beats_++ % beatsPerList == 0;
         client_->call(call_, beatLimit, [this, asked](const Result<Reply> &reply) {
             if (stopping_) {
                 return;
@@ -84,6 +88,9 @@
                 touched_ = asked;
                 leader_ = known->leader;
                 client_->learnReplicas(known->replicas);
+                if (!known->workers.empty()) {
+                    leaderService_->learnWorkers(known->workers);
+                }
             }
             update();
             schedule(asked);
@@ -120,6 +127,8 @@
 
     PresenceCall call_;
     LeaderClient *client_ = nullptr;
+    Leader *leaderService_ = nullptr;
+    std::uint64_t beats_ = 0;
     asio::steady_timer timer_;
     bool stopping_ = false;
     bool draining_ = false;
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -49,12 +49,17 @@
 RunSupervisor::RunSupervisor(Parts parts, MonotonicTime now)
     : parts_(std::move(parts))
     , now_(now)
-    , inheritedLeases_(now
-          + std::chrono::duration_cast<Milliseconds>(parts_.times.lease / (1 - clockDrift))
-          + parts_.times.leaseMargin)
+    , inheritedLeases_(now + longestLease())
 {
 }
 
+/// From when a lease is given until it is over on the slowest clock.
+Milliseconds RunSupervisor::longestLease() const
+{
+    return std::chrono::duration_cast<Milliseconds>(parts_.times.lease / (1 - clockDrift))
+        + parts_.times.leaseMargin;
+}
+
 void RunSupervisor::takeOver(MonotonicTime now)
 {
     now_ = now;
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -11,6 +11,7 @@
 
 #include <crocusmill/announcement.h>
 #include <crocusmill/fleet.h>
+#include <crocusmill/workerhealth.h>
 
 #include <functional>
 #include <map>
@@ -35,6 +36,9 @@
     Milliseconds trust {2'600};
     /// Added to a lease before what it covered counts as over.
     Milliseconds leaseMargin {100};
+    /// A task without progress this long stands still, or this share of its estimate.
+    Milliseconds stall {3'500}; // longer than a gang waits for its members
+    double stallShare = 0.1;
     /// A worker says that it leaves shortly before its process ends.
     Milliseconds departure {1'000};
 };
@@ -76,6 +80,8 @@
     [[nodiscard]] bool holds(const TaskRef &task) const;
     [[nodiscard]] std::size_t workerCount() const;
     [[nodiscard]] std::size_t runCount() const;
+    /// Workers that may be called, for the VM that leads next.
+    [[nodiscard]] std::vector<WorkerHeartbeat> heardLately() const;
     /// For operators: a line for each worker as JSON.
     [[nodiscard]] std::string describe() const;
 
@@ -101,6 +107,8 @@
         std::uint32_t orders = 0; // sent and perhaps carried out
         bool ordering = false; // an order is on its way
         bool ending = false; // its end is being recorded
+        std::uint32_t percent = 0; // as listed last, and since when it has been that
+        MonotonicTime progressed {};
     };
 
     struct Worker
@@ -127,6 +135,7 @@
     void replaceIncarnation(Worker &worker, const WorkerHeartbeat &heartbeat, MonotonicTime now);
     void incarnationGone(const WorkerId &id, const Incarnation &incarnation);
     void updateFleet(Worker &worker, MonotonicTime now);
+    [[nodiscard]] Milliseconds longestLease() const;
     [[nodiscard]] bool isTrusted(const Worker &worker, MonotonicTime now) const;
     [[nodiscard]] std::optional<WorkerTime> lease(Worker &worker, MonotonicTime now);
 
@@ -141,6 +150,10 @@
     void takeReport(
         const WorkerId &id, Worker &worker, const HoldReport &report, MonotonicTime sent);
     void takeRunning(const WorkerId &id, Worker &worker, const ListedRun &listed);
+    void watchProgress(const WorkerId &id, Run &run, const ListedRun &listed);
+    [[nodiscard]] std::set<GraphId> openAmong(const std::vector<EndedRun> &ended) const;
+    void logEnded(const std::set<GraphId> &wereOpen) const;
+    void judge(const WorkerId &id, const ListedEnd &end);
     void recordEnds(const WorkerId &id, const Incarnation &incarnation,
         const std::vector<EndedRun> &ended, EndNumber last);
 
@@ -161,6 +174,7 @@
     WallTime wall_ {};
     MonotonicTime inheritedLeases_; // when every lease of earlier leaders is over
     Fleet fleet_;
+    WorkerHealth health_;
     std::map<WorkerId, Worker> workers_;
     // Invariant: each run is in its worker's `runs` and taken in fleet_.
     std::map<TaskRef, Run> runs_;
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -67,25 +67,42 @@
     hold(heartbeat.id, worker, now);
 }
 
+std::vector<WorkerHeartbeat> RunSupervisor::heardLately() const
+{
+    std::vector<WorkerHeartbeat> heartbeats;
+    for (const std::pair<const WorkerId, Worker> &known : workers_) {
+        if (known.second.known && !known.second.leavesAt) {
+            heartbeats.push_back(known.second.heartbeat);
+            // Its clock's reading is of no use later, and its next heartbeat is a newer one.
+            heartbeats.back().clock.reset();
+        }
+    }
+    return heartbeats;
+}
+
+/// The earlier process is gone. An order that was on its way to it may have reached the new one,
+/// so its runs count until the new one is asked.
 void RunSupervisor::replaceIncarnation(
     Worker &worker, const WorkerHeartbeat &heartbeat, MonotonicTime now)
 {
     logInfo("worker.heard",
         {{"worker", heartbeat.id.value()}, {"incarnation", heartbeat.incarnation.value()},
             {"ip", heartbeat.address.ip}, {"port", std::uint64_t {heartbeat.address.port}}});
-    // A process of the same id that started later proves that all earlier ones are gone.
-    std::vector<EndedRun> lost;
     for (const TaskRef &task : worker.runs) {
-        const Run &run = runs_.at(task);
+        Run &run = runs_.at(task);
         if (run.stage != Stage::Reserved && run.placement.incarnation != heartbeat.incarnation) {
-            lost.push_back(overAs(run, RunEnd::Lost));
+            run.placement.incarnation = heartbeat.incarnation;
+            run.stage = Stage::Adopted;
+            run.settledAt.reset();
+            run.deadline.reset();
+            run.ordering = false;
         }
     }
     if (worker.known) {
         parts_.link.forget(endpointOf(worker));
     }
     worker.clock = {};
-    worker.leaseOver = worker.known ? now : inheritedLeases_;
+    worker.leaseOver = worker.known ? now + longestLease() : inheritedLeases_;
     worker.answered = {};
     worker.unanswered = 0;
     worker.recorded = {};
@@ -94,9 +111,9 @@
     worker.leavesAt.reset();
     worker.refusals = 0;
     worker.refusedUntil = {};
+    health_.forget(heartbeat.id);
     worker.heartbeat = heartbeat;
     worker.known = true;
-    endRuns(lost);
 }
 
 /// The process that answers at the worker's address is another one.
@@ -153,7 +170,9 @@
     entry.capacity = heartbeat.capacity;
     entry.rack = heartbeat.rack;
     entry.labels = heartbeat.labels;
-    entry.open = isTrusted(worker, now) && !heartbeat.draining;
+    entry.open = isTrusted(worker, now) && !heartbeat.draining
+        && !parts_.state.isLeaving(heartbeat.id, heartbeat.incarnation)
+        && health_.usable(heartbeat.id, workers_.size(), now);
     fleet_.setWorker(entry);
 }
 
@@ -231,6 +250,18 @@
     if (outcome.clock) {
         worker.clock.observed(*outcome.clock, now);
     }
+    const Incarnation &answering = outcome.report.incarnation;
+    if (!outcome.error && answering != incarnation) {
+        // Its heartbeat is still on its way.
+        WorkerHeartbeat other = worker.heartbeat;
+        other.incarnation = answering;
+        other.sequence = 0;
+        other.clock = outcome.clock;
+        replaceIncarnation(worker, other, now);
+        updateFleet(worker, now);
+        hold(id, worker, now);
+        return;
+    }
     if (outcome.error == HoldError::OtherIncarnation) {
         worker.nextHold = now + holdRetryPause;
         incarnationGone(id, incarnation);
@@ -269,6 +300,7 @@
         Run *run = findRun(end.task, end.run);
         if (run != nullptr && run->placement.worker == id) {
             run->ending = true;
+            judge(id, end);
         }
         ended.push_back({end.task, end.run, end.end, end.saved});
     }
@@ -307,12 +339,80 @@
     if (run->stage == Stage::Adopted || run->stage == Stage::Starting) {
         run->stage = Stage::Running;
         run->settledAt = monotonicNow();
+    }
+    if (run->stage == Stage::Running) {
+        watchProgress(id, *run, listed);
     } else if (run->stage == Stage::Stopping && run->settledAt
         && monotonicNow() - *run->settledAt > parts_.times.orderLimit * 2) {
         run->settledAt.reset(); // the stop did not take: order it again
     }
 }
 
+/// Those of the jobs that were open before and are not any more.
+void RunSupervisor::logEnded(const std::set<GraphId> &wereOpen) const
+{
+    for (const GraphId &id : wereOpen) {
+        const Graph *graph = parts_.state.graphs().find(id);
+        if (graph == nullptr || graph->state == GraphState::Open) {
+            continue;
+        }
+        logInfo("job.ended",
+            {{"job", id.value()}, {"succeeded", graph->state == GraphState::Succeeded},
+                {"took_ms",
+                    static_cast<std::uint64_t>((graph->endedAt - graph->acceptedAt).count())}});
+    }
+}
+
+std::set<GraphId> RunSupervisor::openAmong(const std::vector<EndedRun> &ended) const
+{
+    std::set<GraphId> open;
+    for (const EndedRun &end : ended) {
+        if (parts_.state.graphs().open().contains(end.task.graph)) {
+            open.insert(end.task.graph);
+        }
+    }
+    return open;
+}
+
+/// Stops a run that stands still, so that it is started elsewhere.
+void RunSupervisor::watchProgress(const WorkerId &id, Run &run, const ListedRun &listed)
+{
+    const MonotonicTime now = monotonicNow();
+    if (run.progressed == MonotonicTime {} || listed.percent != run.percent) {
+        run.percent = listed.percent;
+        run.progressed = now;
+        return;
+    }
+    const Milliseconds patience = std::max(parts_.times.stall,
+        std::chrono::duration_cast<Milliseconds>(run.spec.estimate * parts_.times.stallShare));
+    if (run.spec.lasting || now - run.progressed <= patience) {
+        return;
+    }
+    logWarning("run.stalled",
+        {{"job", listed.task.graph.value()}, {"worker", id.value()},
+            {"percent", std::uint64_t {listed.percent}}});
+    health_.stalled(id, now);
+    run.stage = Stage::Stopping;
+    run.settledAt.reset();
+    run.nextOrder = now;
+}
+
+/// Only a task's own end says something about its worker.
+void RunSupervisor::judge(const WorkerId &id, const ListedEnd &end)
+{
+    if (end.end == RunEnd::Failed) {
+        logInfo("run.failed",
+            {{"job", end.task.graph.value()}, {"step", std::uint64_t {end.task.step}},
+                {"task", std::uint64_t {end.task.task}}, {"run", std::uint64_t {end.run.value()}},
+                {"worker", id.value()}});
+    }
+    if (end.end == RunEnd::Succeeded) {
+        health_.succeeded(id);
+    } else if (end.end == RunEnd::Failed) {
+        health_.failed(id, end.task.graph, monotonicNow());
+    }
+}
+
 void RunSupervisor::recordEnds(const WorkerId &id, const Incarnation &incarnation,
     const std::vector<EndedRun> &ended, EndNumber last)
 {
@@ -320,7 +420,8 @@
     Worker &worker = workers_.at(id);
     worker.holding = true;
     parts_.propose(EndRuns {ended, wallTimeNow()},
-        [self = shared_from_this(), id, incarnation, ended, last](const Result<ApplyReply> &reply) {
+        [self = shared_from_this(), id, incarnation, ended, last, open = openAmong(ended)](
+            const Result<ApplyReply> &reply) {
             for (const EndedRun &end : ended) {
                 Run *run = self->findRun(end.task, end.run);
                 if (run == nullptr || run->placement.worker != id) {
@@ -332,6 +433,7 @@
                     run->ending = false;
                 }
             }
+            self->logEnded(open);
             const auto found = self->workers_.find(id);
             if (found != self->workers_.end()
                 && found->second.heartbeat.incarnation == incarnation) {
--- a/src/services/ticketagents.cpp
+++ b/src/services/ticketagents.cpp
@@ -13,7 +13,7 @@
 {
 
 /// A VM that was not heard this long is not asked.
-constexpr Milliseconds agentLife {1'800};
+constexpr Milliseconds agentLife {1'100};
 /// A question that would be answered later than this is not asked yet.
 constexpr Milliseconds longestQueue {2'500};
 /// Beyond what the office should take, for the way there and back.
@@ -31,23 +31,24 @@
     : peers_(peers)
     , local_(local)
     , self_(std::move(self))
+    , agents_(std::make_shared<Agents>())
 {
-    agents_[self_].heard = MonotonicTime::max();
+    (*agents_)[self_].heard = MonotonicTime::max();
 }
 
 void TicketAgents::heard(const NodeAddress &vm, MonotonicTime now)
 {
     if (vm != self_) {
-        agents_[vm].heard = now;
+        (*agents_)[vm].heard = now;
     }
 }
 
-std::map<NodeAddress, TicketAgents::Agent>::iterator TicketAgents::leastBusy(MonotonicTime now)
+TicketAgents::Agents::iterator TicketAgents::leastBusy(MonotonicTime now)
 {
-    std::erase_if(agents_, [now](const std::pair<const NodeAddress, Agent> &known) {
+    std::erase_if(*agents_, [now](const std::pair<const NodeAddress, Agent> &known) {
         return known.second.heard != MonotonicTime::max() && now - known.second.heard > agentLife;
     });
-    return std::min_element(agents_.begin(), agents_.end(),
+    return std::min_element(agents_->begin(), agents_->end(),
         [](const std::pair<const NodeAddress, Agent> &left,
             const std::pair<const NodeAddress, Agent> &right) {
             return left.second.freeAt < right.second.freeAt;
@@ -57,7 +58,7 @@
 bool TicketAgents::mayAsk(MonotonicTime now) const
 {
     return std::any_of(
-        agents_.begin(), agents_.end(), [now](const std::pair<const NodeAddress, Agent> &known) {
+        agents_->begin(), agents_->end(), [now](const std::pair<const NodeAddress, Agent> &known) {
             return known.second.freeAt < now + longestQueue;
         });
 }
@@ -65,7 +66,7 @@
 void TicketAgents::ask(const TaskRef &step, const std::vector<WorkerId> &workers,
     const TicketTerms &terms, MonotonicTime now, std::function<void(const TicketAnswer &)> done)
 {
-    const std::map<NodeAddress, Agent>::iterator agent = leastBusy(now);
+    const Agents::iterator agent = leastBusy(now);
     const Milliseconds time = timeOf(terms, workers.size());
     agent->second.freeAt = std::max(agent->second.freeAt, now) + time;
     const Milliseconds limit = std::chrono::ceil<Milliseconds>(agent->second.freeAt - now) + slack;
@@ -74,8 +75,13 @@
         return;
     }
     peers_.call(agent->first, TicketCall {step, workers, limit}, limit,
-        [done = std::move(done)](const Result<Reply> &reply) {
+        [agents = std::weak_ptr<Agents> {agents_}, vm = agent->first, done = std::move(done)](
+            const Result<Reply> &reply) {
             const TicketReply *known = reply ? std::get_if<TicketReply>(&reply.value()) : nullptr;
+            const std::shared_ptr<Agents> kept = agents.lock();
+            if (kept && (known == nullptr || !known->answered)) {
+                kept->erase(vm); // until it is heard again
+            }
             done(known == nullptr
                     ? TicketAnswer {}
                     : TicketAnswer {known->answered, known->allowed, known->validity});
--- a/src/services/ticketagents.h
+++ b/src/services/ticketagents.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <vector>
 
 namespace crocusmill
@@ -34,12 +35,14 @@
         MonotonicTime freeAt {}; // when its questions so far should be answered
     };
 
-    [[nodiscard]] std::map<NodeAddress, Agent>::iterator leastBusy(MonotonicTime now);
+    using Agents = std::map<NodeAddress, Agent>;
+
+    [[nodiscard]] Agents::iterator leastBusy(MonotonicTime now);
 
     Peers &peers_;
     TicketOffice &local_;
     NodeAddress self_;
-    std::map<NodeAddress, Agent> agents_;
+    std::shared_ptr<Agents> agents_; // answers may come when this object is gone
 };
 
 } // namespace crocusmill
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -211,6 +211,7 @@
         settings.operators.listen = readListen(checker);
         settings.operators.tokenFile = checker.requiredText("token_file");
     });
+    root.object("metrics", [&](ObjectChecker &checker) { settings.metrics = readListen(checker); });
     root.object("log", [&](ObjectChecker &checker) { readLog(checker, settings.log); });
     root.object("trace", [&](ObjectChecker &checker) { readTrace(checker, settings.trace); });
     root.object("times", [&](ObjectChecker &checker) { readTimes(checker, settings.times); });
--- a/src/state/codec.cpp
+++ b/src/state/codec.cpp
@@ -19,6 +19,7 @@
     std::vector<UpstreamId> drainedUpstreams;
     std::vector<WorkerId> drainedWorkers;
     Catalog catalog;
+    std::vector<NoteLeaving> leaving;
 };
 
 struct SnapshotText
@@ -30,7 +31,8 @@
 };
 
 BOOST_DESCRIBE_STRUCT(SnapshotHead, (),
-    (configurationIndex, environments, quarantined, drainedUpstreams, drainedWorkers, catalog))
+    (configurationIndex, environments, quarantined, drainedUpstreams, drainedWorkers, catalog,
+        leaving))
 BOOST_DESCRIBE_STRUCT(SnapshotText, (), (head, work, jobs, graphs))
 
 /// Record by record, as a tree of all of them would be many times the text's size.
@@ -80,7 +82,7 @@
 std::string encodeImage(const StateImage &image)
 {
     const SnapshotHead head {image.configurationIndex, image.environments, image.quarantined,
-        image.drainedUpstreams, image.drainedWorkers, image.catalog};
+        image.drainedUpstreams, image.drainedWorkers, image.catalog, image.leaving};
     std::string text = "{\"head\":" + encodeStruct(head) + ",\"work\":";
     appendRecords(text, image.work);
     text += ",\"jobs\":";
@@ -104,6 +106,9 @@
     image.drainedUpstreams.assign(drainedUpstreams_.begin(), drainedUpstreams_.end());
     image.drainedWorkers.assign(drainedWorkers_.begin(), drainedWorkers_.end());
     image.catalog = catalog_;
+    for (const std::pair<const WorkerId, NoteLeaving> &known : leaving_) {
+        image.leaving.push_back(known.second);
+    }
     image.graphs = graphs_.image();
     return image;
 }
@@ -135,6 +140,9 @@
     fresh.drainedUpstreams_.insert(head.drainedUpstreams.begin(), head.drainedUpstreams.end());
     fresh.drainedWorkers_.insert(head.drainedWorkers.begin(), head.drainedWorkers.end());
     fresh.catalog_ = std::move(head.catalog);
+    for (const NoteLeaving &known : head.leaving) {
+        fresh.leaving_[known.worker] = known;
+    }
     fresh.graphs_.restore(std::move(text.graphs));
     fresh.rebuildIndices();
     *this = std::move(fresh);
--- a/src/state/graphs.cpp
+++ b/src/state/graphs.cpp
@@ -50,6 +50,18 @@
     return reply;
 }
 
+ApplyReply StateMachine::on(const NoteLeaving &command)
+{
+    leaving_[command.worker] = command;
+    return {};
+}
+
+bool StateMachine::isLeaving(const WorkerId &worker, const Incarnation &incarnation) const
+{
+    const auto found = leaving_.find(worker);
+    return found != leaving_.end() && found->second.incarnation == incarnation;
+}
+
 const Catalog &StateMachine::catalog() const
 {
     return catalog_;
--- a/src/state/workledger.cpp
+++ b/src/state/workledger.cpp
@@ -218,6 +218,9 @@
     forgetWork(command.before);
     forgetJobs(command.before);
     graphs_.forget(command.before);
+    std::erase_if(leaving_, [&command](const std::pair<const WorkerId, NoteLeaving> &known) {
+        return known.second.at < command.before;
+    });
     return {};
 }
 
--- a/src/wire/calls.h
+++ b/src/wire/calls.h
@@ -275,6 +275,7 @@
     NodeAddress address;
     ReplicaId replica; // zero: no data folder
     bool asksForTickets = false;
+    bool wantsWorkers = false; // a replica that may lead next
 };
 
 struct PresenceReply
@@ -282,6 +283,7 @@
     static constexpr const char *kind = "presence_reply";
     NodeAddress leader;
     std::vector<NodeAddress> replicas;
+    std::vector<WorkerHeartbeat> workers; // where wanted: those heard lately
 };
 
 /// Puts a catalog in force, or reads the one in force.
--- a/test/consensus.cpp
+++ b/test/consensus.cpp
@@ -78,6 +78,7 @@
         proposeOne(network, payload);
         network.runFor(Milliseconds {10});
     }
+    network.runFor(Milliseconds {200}); // the commit index of the last entries travels too
     CHECK(network.at(old).commitIndex() == network.leader()->commitIndex());
     CHECK(network.bytesTo(old) - healed <= 2 * (proposals + 200) * payload.size());
     CHECK(network.agreed());
