A task keeps away from the worker on which it failed; a silent leader is given up after 0.7 s

Cause, from the line of a failed job in OPERATIONS.md: its last two runs went to the same worker.

Ruled out: order and room (steps were placed within 72 ms of being due).

Change: a task's next run avoids the worker of its last failed run while there are others; a replica that does not answer within 0.7 s is left for the next one.

The linter covers platform/.

--- a/include/crocusmill/graphbook.h
+++ b/include/crocusmill/graphbook.h
@@ -53,6 +53,9 @@
     [[nodiscard]] const GraphTask *find(const TaskRef &ref) const;
     /// All steps that this one comes after have succeeded.
     [[nodiscard]] bool isReady(std::uint32_t occurrence, std::uint32_t step) const;
+    /// Workers on which the newest run of a waiting task of this step failed; another one tells a
+    /// bad task from a bad worker.
+    [[nodiscard]] std::set<WorkerId> failedOn(std::uint32_t occurrence, std::uint32_t step) const;
     /// Number of the next run of a task; members of a gang share it.
     [[nodiscard]] RunNumber nextRun(const TaskRef &ref) const;
     [[nodiscard]] WallTime dueAt(std::uint32_t occurrence) const;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -99,18 +99,9 @@
     }
     kernel_.add(makePeerService(loop_, settings_.peers, std::move(key)));
     kernel_.add(makeJournalService(control, settings_, std::move(storage)));
-    const bool onPlatform = !settings_.platform.empty();
-    kernel_.add(makeLeaderService(control, settings_, onPlatform));
+    kernel_.add(makeLeaderService(control, settings_, !settings_.platform.empty()));
     kernel_.add(makeClientService(control, settings_));
-    if (settings_.takesRequests) {
-        kernel_.add(makeEntryService(control, settings_, replica));
-        kernel_.add(makeIngressService(control, traffic, settings_, metrics_, tracer_));
-    }
-    if (onPlatform) {
-        kernel_.add(makePresenceService(control, settings_, replica, true));
-        BOOST_OUTCOME_TRY(platform::addServices(
-            kernel_, {control, traffic, metrics_, settings_.entry}, settings_.platform));
-    }
+    BOOST_OUTCOME_TRY(addFronts(traffic, replica));
     if (settings_.metrics) {
         kernel_.add(makeMetricsService(traffic, *settings_.metrics, metrics_));
     }
@@ -119,6 +110,21 @@
     return kernel_.start();
 }
 
+Result<void> Daemon::addFronts(const std::vector<asio::io_context *> &traffic, ReplicaId replica)
+{
+    asio::io_context &control = loop_.context();
+    if (settings_.takesRequests) {
+        kernel_.add(makeEntryService(control, settings_, replica));
+        kernel_.add(makeIngressService(control, traffic, settings_, metrics_, tracer_));
+    }
+    if (settings_.platform.empty()) {
+        return success();
+    }
+    kernel_.add(makePresenceService(control, settings_, replica, true));
+    return platform::addServices(
+        kernel_, {control, traffic, metrics_, settings_.entry}, settings_.platform);
+}
+
 void Daemon::startTraffic()
 {
     for (const std::unique_ptr<asio::io_context> &context : traffic_) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -31,6 +31,9 @@
 
 private:
     [[nodiscard]] Result<void> assemble();
+    /// Services that take the requests of callers, or those of the platform's adapter.
+    [[nodiscard]] Result<void> addFronts(
+        const std::vector<asio::io_context *> &traffic, ReplicaId replica);
     void startTraffic();
     void stopTraffic();
     /// The callers' ports of this process.
--- a/src/services/clientservice.cpp
+++ b/src/services/clientservice.cpp
@@ -14,7 +14,8 @@
 {
 
 constexpr Milliseconds retryPause {50};
-constexpr Milliseconds oneTry {1'500};
+/// A leader answers within a tenth of this; one that does not may have been cut off or replaced.
+constexpr Milliseconds oneTry {700};
 
 class ClientService final : public Service, public LeaderClient
 {
--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -35,7 +35,7 @@
 
 std::shared_ptr<Dispatcher> Dispatcher::make(const Parts &parts, MonotonicTime now)
 {
-    const std::shared_ptr<Dispatcher> made {new Dispatcher(parts)};
+    std::shared_ptr<Dispatcher> made {new Dispatcher(parts)};
     made->supervisor_ = std::make_shared<RunSupervisor>(
         RunSupervisor::Parts {parts.journal.state(), parts.link, parts.propose,
             [&journal = parts.journal, term = parts.term]() {
@@ -173,17 +173,33 @@
         placeTicketed(demand, graph, *queue->tickets, now);
         return;
     }
-    take(demand, graph,
-        supervisor_->fleet().choose(demand, [](const FleetWorker & /*worker*/) { return true; }),
+    take(demand, graph, choose(demand, graph, [](const FleetWorker & /*worker*/) { return true; }),
         now);
 }
 
+/// Keeps away from workers on which a task has just failed, while there are others.
+std::vector<FleetChoice> Dispatcher::choose(
+    const StepDemand &demand, const Graph &graph, const WorkerFilter &filter) const
+{
+    const Fleet &fleet = supervisor_->fleet();
+    const std::set<WorkerId> failed = graph.failedOn(demand.step.occurrence, demand.step.step);
+    if (!failed.empty()) {
+        std::vector<FleetChoice> others = fleet.choose(demand, [&](const FleetWorker &worker) {
+            return !failed.contains(worker.id) && filter(worker);
+        });
+        if (!others.empty()) {
+            return others;
+        }
+    }
+    return fleet.choose(demand, filter);
+}
+
 void Dispatcher::placeTicketed(
     const StepDemand &demand, const Graph &graph, const TicketTerms &terms, MonotonicTime now)
 {
     const TaskRef &step = demand.step;
     const Fleet &fleet = supervisor_->fleet();
-    const std::vector<FleetChoice> chosen = fleet.choose(demand, [&](const FleetWorker &worker) {
+    const std::vector<FleetChoice> chosen = choose(demand, graph, [&](const FleetWorker &worker) {
         return book_.ticket(step, worker.id, now + ticketMargin).has_value();
     });
     take(demand, graph, chosen, now);
@@ -191,8 +207,8 @@
         return;
     }
     StepDemand rest = demandOf(graph, step);
-    const std::vector<FleetChoice> allowed = fleet.choose(
-        rest, [&](const FleetWorker &worker) { return book_.isAllowed(step, worker.id); });
+    const std::vector<FleetChoice> allowed = choose(
+        rest, graph, [&](const FleetWorker &worker) { return book_.isAllowed(step, worker.id); });
     std::vector<WorkerId> workers;
     for (const FleetChoice &choice : allowed) {
         if (std::find(workers.begin(), workers.end(), choice.worker) == workers.end()) {
--- a/src/services/dispatcher.h
+++ b/src/services/dispatcher.h
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include "src/net/asio.h"
 #include "src/services/runsupervisor.h"
 #include "src/services/ticketagents.h"
 
@@ -51,6 +52,8 @@
     void collect(const Graph &graph, std::uint32_t occurrence, std::vector<ReadyStep> &ready);
     [[nodiscard]] StepDemand demandOf(const Graph &graph, const TaskRef &step) const;
     void placeStep(const ReadyStep &ready, MonotonicTime now);
+    [[nodiscard]] std::vector<FleetChoice> choose(
+        const StepDemand &demand, const Graph &graph, const WorkerFilter &filter) const;
     void placeTicketed(
         const StepDemand &demand, const Graph &graph, const TicketTerms &terms, MonotonicTime now);
     void take(const StepDemand &demand, const Graph &graph, const std::vector<FleetChoice> &chosen,
--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -126,8 +126,8 @@
     /// Decisions of an earlier term are of no use: their proposals are gone with it.
     void makeDispatcher(Term term)
     {
-        const RunSupervisor::Propose propose = [this, term](
-                                                   const Command &command, ProposeHandler done) {
+        const RunSupervisor::Propose propose = [this, term](const Command &command,
+                                                   const ProposeHandler &done) {
             journal_->propose(command, [this, term, done](const Result<ApplyReply> &reply) {
                 if (lead_ && lead_->term == term) {
                     done(reply);
--- a/src/state/graphbook.cpp
+++ b/src/state/graphbook.cpp
@@ -59,6 +59,18 @@
     });
 }
 
+std::set<WorkerId> Graph::failedOn(std::uint32_t occurrence, std::uint32_t step) const
+{
+    std::set<WorkerId> workers;
+    for (const GraphTask &task : occurrences[occurrence].steps[step].tasks) {
+        const bool failedLast = !task.failed.empty() && task.failed.back() == task.run;
+        if (task.phase == TaskPhase::Waiting && failedLast) {
+            workers.insert(task.worker);
+        }
+    }
+    return workers;
+}
+
 RunNumber Graph::nextRun(const TaskRef &ref) const
 {
     const GraphStep &step = occurrences[ref.occurrence].steps[ref.step];
--- a/support/lint.sh
+++ b/support/lint.sh
@@ -21,6 +21,6 @@
 with open(os.path.join(build, "lint", "compile_commands.json"), "w") as file:
     json.dump(kept, file)
 END
-run-clang-tidy -quiet -p "$build/lint" -j "$jobs" "$PWD/(src|test|bench)/$pattern" 2>&1 \
+run-clang-tidy -quiet -p "$build/lint" -j "$jobs" "$PWD/(src|test|bench|platform)/$pattern" 2>&1 \
     | grep -vE '^[0-9]+ warnings|^Suppressed|^Use -header-filter|^Use -system-headers|^clang-tidy' \
     || test "${PIPESTATUS[0]}" -eq 0
--- a/test/graphbook.cpp
+++ b/test/graphbook.cpp
@@ -113,6 +113,16 @@
     CHECK(phaseOf(book, task(0, 0)) == TaskPhase::GivenUp);
 }
 
+TEST_CASE("a task is not sent back to the worker on which it has just failed")
+{
+    GraphBook book;
+    book.submit({graphOf("g", {stepOf(2)}), now});
+    book.place({{placed(task(0, 0), 1, "bad"), placed(task(0, 1), 1, "good")}});
+    book.end({{ended(task(0, 0), 1, RunEnd::Failed), ended(task(0, 1), 1, RunEnd::Stopped)}, now});
+    const Graph &graph = *book.find(GraphId {"g"});
+    CHECK(graph.failedOn(0, 0) == std::set<WorkerId> {WorkerId {"bad"}});
+}
+
 TEST_CASE("stops and losses are no failures; what was saved is kept")
 {
     GraphBook book;
