Large services are split; a late word of an earlier process hides no drain

Found while reading: a worker's drain was recorded by the newest word, so that a late word of its earlier process would have hidden the present one's from the next leader. The test failed first.

--- /dev/null
+++ b/src/services/dispatchdesk.cpp
@@ -0,0 +1,118 @@
+/// Calls about queues, jobs, workers and tickets.
+
+#include "src/services/dispatchdesk.h"
+
+#include "src/net/clock.h"
+
+namespace crocusmill
+{
+
+DispatchDesk::DispatchDesk(asio::io_context &control, Journal &journal, Peers &peers,
+    WorkerLink *link, TicketOffice *office, NodeAddress self)
+    : control_(control)
+    , journal_(journal)
+    , peers_(peers)
+    , link_(link)
+    , office_(office)
+    , self_(std::move(self))
+    , graphs_(journal, dispatcher_)
+{
+}
+
+void DispatchDesk::lead(Term term, const RunSupervisor::Propose &propose)
+{
+    if (link_ == nullptr || office_ == nullptr) {
+        return;
+    }
+    dispatcher_ = Dispatcher::make(
+        {control_, journal_, peers_, *link_, *office_, self_, term, propose}, monotonicNow());
+    // Leases of what runs are short: it is looked for where the last leader knew it to be.
+    for (const WorkerHeartbeat &worker : workers_) {
+        dispatcher_->heard(worker, monotonicNow());
+    }
+}
+
+void DispatchDesk::follow()
+{
+    dispatcher_.reset();
+}
+
+void DispatchDesk::tick()
+{
+    if (dispatcher_) {
+        dispatcher_->tick(monotonicNow(), wallTimeNow());
+    }
+}
+
+void DispatchDesk::learnWorkers(const std::vector<WorkerHeartbeat> &workers)
+{
+    workers_ = workers;
+}
+
+void DispatchDesk::handle(const GraphCall &call, const ReplyHandler &done)
+{
+    graphs_.handle(call, done);
+}
+
+void DispatchDesk::handle(const CatalogCall &call, const ReplyHandler &done)
+{
+    graphs_.handle(call, done);
+}
+
+void DispatchDesk::handle(const HeartbeatCall &call, const ReplyHandler &done)
+{
+    const WorkerHeartbeat &heard = call.heartbeat;
+    if (dispatcher_ && call.leaves) {
+        dispatcher_->left(heard.id, heard.incarnation, monotonicNow());
+    } else if (dispatcher_) {
+        dispatcher_->heard(heard, monotonicNow());
+    }
+    if (heard.draining && !journal_.state().isLeaving(heard.id, heard.incarnation)) {
+        noteLeaving(heard, done);
+        return;
+    }
+    done(Reply {HeartbeatReply {self_}});
+}
+
+/// Once this is acknowledged, no later leader may start anything there either.
+void DispatchDesk::noteLeaving(const WorkerHeartbeat &worker, const ReplyHandler &done)
+{
+    journal_.propose(NoteLeaving {worker.id, worker.incarnation, wallTimeNow()},
+        [this, done](const Result<ApplyReply> &reply) {
+            if (reply) {
+                done(Reply {HeartbeatReply {self_}});
+            } else {
+                done(reply.error());
+            }
+        });
+}
+
+void DispatchDesk::handle(const PresenceCall &call, const ReplyHandler &done)
+{
+    journal_.offerReplica(call.vm, call.replica, call.address);
+    if (dispatcher_ && call.asksForTickets) {
+        dispatcher_->present(call.address, monotonicNow());
+    }
+    PresenceReply reply;
+    reply.leader = self_;
+    for (const Member &member : journal_.consensus()->membership().members) {
+        reply.replicas.push_back(member.address);
+    }
+    if (dispatcher_ && call.wantsWorkers) {
+        reply.workers = dispatcher_->supervisor().heardLately();
+    }
+    done(Reply {reply});
+}
+
+void DispatchDesk::handle(const TicketCall &call, const ReplyHandler &done)
+{
+    if (office_ == nullptr) {
+        done(Reply {TicketReply {}});
+        return;
+    }
+    office_->ask(call.step, call.workers, call.limit, [done](const TicketAnswer &answer) {
+        done(Reply {TicketReply {answer.answered, answer.allowed, answer.validity}});
+    });
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/services/dispatchdesk.h
@@ -0,0 +1,51 @@
+/// What a VM does for jobs that are graphs: answers calls about them, and dispatches while it
+/// leads.
+
+#pragma once
+
+#include "src/net/asio.h"
+#include "src/services/dispatcher.h"
+#include "src/services/graphdesk.h"
+#include "src/services/interfaces.h"
+
+#include <memory>
+#include <vector>
+
+namespace crocusmill
+{
+
+class DispatchDesk
+{
+public:
+    /// `link` and `office` are null where no workers are called.
+    DispatchDesk(asio::io_context &control, Journal &journal, Peers &peers, WorkerLink *link,
+        TicketOffice *office, NodeAddress self);
+
+    /// This VM leads in a new term; `propose` tells nothing once it leads no more.
+    void lead(Term term, const RunSupervisor::Propose &propose);
+    void follow();
+    void tick();
+    void learnWorkers(const std::vector<WorkerHeartbeat> &workers);
+
+    void handle(const GraphCall &call, const ReplyHandler &done);
+    void handle(const CatalogCall &call, const ReplyHandler &done);
+    void handle(const HeartbeatCall &call, const ReplyHandler &done);
+    void handle(const PresenceCall &call, const ReplyHandler &done);
+    /// Any VM answers this one.
+    void handle(const TicketCall &call, const ReplyHandler &done);
+
+private:
+    void noteLeaving(const WorkerHeartbeat &worker, const ReplyHandler &done);
+
+    asio::io_context &control_;
+    Journal &journal_;
+    Peers &peers_;
+    WorkerLink *link_;
+    TicketOffice *office_;
+    NodeAddress self_;
+    std::vector<WorkerHeartbeat> workers_; // as the last leader listed them
+    std::shared_ptr<Dispatcher> dispatcher_; // null while this VM does not lead
+    GraphDesk graphs_;
+};
+
+} // namespace crocusmill
--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -13,24 +13,8 @@
 namespace
 {
 
-/// A ticket must be good this long after the decision: the record and the order take their time.
-constexpr Milliseconds ticketMargin {250};
-/// Workers that a step asks about first. The more, the more are allowed; each costs time.
-constexpr std::size_t leastAsked = 16;
-constexpr std::size_t mostAsked = 100; // of one question
-/// Of the workers asked about, at least about this share is allowed.
-constexpr double allowedShare = 0.3;
-/// Workers beyond those chosen that a renewal asks about, in case room is taken meanwhile.
-constexpr std::size_t renewalSpare = 2;
 constexpr Milliseconds forgetInterval {2'000};
 
-TaskRef stepRef(const TaskRef &task)
-{
-    TaskRef step = task;
-    step.task = 0;
-    return step;
-}
-
 } // namespace
 
 std::shared_ptr<Dispatcher> Dispatcher::make(const Parts &parts, MonotonicTime now)
@@ -194,125 +178,6 @@
     return fleet.choose(demand, filter);
 }
 
-void Dispatcher::placeTicketed(
-    const StepDemand &demand, const Graph &graph, const TicketTerms &terms, MonotonicTime now)
-{
-    const TaskRef &step = demand.step;
-    const Fleet &fleet = supervisor_->fleet();
-    const std::vector<FleetChoice> chosen = choose(demand, graph, [&](const FleetWorker &worker) {
-        return book_.ticket(step, worker.id, now + ticketMargin).has_value();
-    });
-    take(demand, graph, chosen, now);
-    if (chosen.size() == demand.waiting.size() || book_.isAsking(step) || !agents_.mayAsk(now)) {
-        return;
-    }
-    StepDemand rest = demandOf(graph, step);
-    const std::vector<FleetChoice> allowed = choose(
-        rest, graph, [&](const FleetWorker &worker) { return book_.isAllowed(step, worker.id); });
-    std::vector<WorkerId> workers;
-    for (const FleetChoice &choice : allowed) {
-        if (std::find(workers.begin(), workers.end(), choice.worker) == workers.end()) {
-            workers.push_back(choice.worker);
-        }
-    }
-    if (!workers.empty()) {
-        std::size_t spare = 0;
-        for (const WorkerId &worker : fleet.suited(rest)) {
-            const bool other = std::find(workers.begin(), workers.end(), worker) == workers.end();
-            if (spare < renewalSpare && other && book_.isAllowed(step, worker)) {
-                workers.push_back(worker);
-                ++spare;
-            }
-        }
-        ask(rest, terms, workers, now);
-        return;
-    }
-    ask(rest, terms, unasked(rest, mostAsked), now);
-}
-
-/// Workers with most room that the step has not asked about: enough for its tasks.
-std::vector<WorkerId> Dispatcher::unasked(const StepDemand &demand, std::size_t most) const
-{
-    std::vector<WorkerId> workers;
-    double room = 0;
-    const double wanted = static_cast<double>(demand.spec->tasks) / allowedShare;
-    for (const WorkerId &id : supervisor_->fleet().suited(demand)) {
-        if (workers.size() >= most || (workers.size() >= leastAsked && room >= wanted)) {
-            break;
-        }
-        if (book_.wasAsked(demand.step, id)) {
-            continue;
-        }
-        const FleetWorker &worker = *supervisor_->fleet().find(id);
-        const std::uint32_t size = std::max(demand.spec->size.milliCores, 1U);
-        // About half of a worker is in use.
-        room += static_cast<double>(worker.capacity.milliCores) / size / 2;
-        workers.push_back(id);
-    }
-    return workers;
-}
-
-void Dispatcher::ask(const StepDemand &demand, const TicketTerms &terms,
-    const std::vector<WorkerId> &workers, MonotonicTime now)
-{
-    if (workers.empty()) {
-        return;
-    }
-    const TaskRef step = stepRef(demand.step);
-    book_.asked(step, workers);
-    agents_.ask(step, workers, terms, now,
-        [weak = weak_from_this(), step, workers, validity = terms.validity, asked = now](
-            const TicketAnswer &answer) {
-            const std::shared_ptr<Dispatcher> self = weak.lock();
-            if (!self) {
-                return;
-            }
-            if (!answer.answered) {
-                logInfo("tickets.unanswered",
-                    {{"job", step.graph.value()}, {"workers", std::uint64_t {workers.size()}}});
-                self->book_.unanswered(step, workers);
-                return;
-            }
-            const Milliseconds valid =
-                answer.validity > Milliseconds {0} ? answer.validity : validity;
-            const MonotonicTime now = monotonicNow();
-            logInfo("tickets.answered",
-                {{"job", step.graph.value()}, {"step", std::uint64_t {step.step}},
-                    {"workers", std::uint64_t {workers.size()}},
-                    {"allowed", std::uint64_t {answer.allowed.size()}},
-                    {"took_ms",
-                        static_cast<std::uint64_t>(
-                            std::chrono::duration_cast<Milliseconds>(now - asked).count())}});
-            self->book_.answered(step, workers, answer.allowed, now + valid);
-            self->wake();
-        });
-}
-
-/// A step whose predecessors all run asks ahead, so that its start need not wait for the answer.
-void Dispatcher::askAhead(
-    const Graph &graph, std::uint32_t occurrence, std::uint32_t step, MonotonicTime now)
-{
-    const std::vector<GraphStep> &steps = graph.occurrences[occurrence].steps;
-    for (const std::uint32_t earlier : graph.spec.steps[step].after) {
-        for (const GraphTask &task : steps[earlier].tasks) {
-            if (task.phase == TaskPhase::Waiting) {
-                return;
-            }
-        }
-    }
-    const Queue *queue = parts_.journal.state().catalog().find(graph.spec.queue);
-    if (queue == nullptr || !queue->tickets || !agents_.mayAsk(now)) {
-        return;
-    }
-    const StepDemand demand = demandOf(graph, {graph.spec.id, occurrence, step, 0});
-    const std::vector<WorkerId> suited = supervisor_->fleet().suited(demand);
-    const bool asked = std::any_of(suited.begin(), suited.end(),
-        [&](const WorkerId &worker) { return book_.wasAsked(demand.step, worker); });
-    if (!asked && !book_.isAsking(demand.step)) {
-        ask(demand, *queue->tickets, unasked(demand, mostAsked), now);
-    }
-}
-
 void Dispatcher::take(const StepDemand &demand, const Graph &graph,
     const std::vector<FleetChoice> &chosen, MonotonicTime now)
 {
@@ -391,16 +256,6 @@
     }
 }
 
-void Dispatcher::forgetTickets()
-{
-    for (const TaskRef &step : book_.steps()) {
-        const Graph *graph = parts_.journal.state().graphs().find(step.graph);
-        if (graph == nullptr || graph->state != GraphState::Open) {
-            book_.forget(step);
-        }
-    }
-}
-
 Milliseconds Dispatcher::retryAfter(const Queue & /*queue*/, const GraphSpec & /*spec*/) const
 {
     return Milliseconds {0};
--- a/src/services/dispatcher.h
+++ b/src/services/dispatcher.h
@@ -17,6 +17,9 @@
 namespace crocusmill
 {
 
+/// A ticket must be good this long after the decision: the record and the order take their time.
+inline constexpr Milliseconds ticketMargin {250};
+
 class Dispatcher : public std::enable_shared_from_this<Dispatcher>
 {
 public:
--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -5,7 +5,7 @@
 #include "src/net/clock.h"
 #include "src/net/log.h"
 #include "src/net/peerstream.h"
-#include "src/services/graphdesk.h"
+#include "src/services/dispatchdesk.h"
 #include "src/services/leadership.h"
 #include "src/services/operatorcalls.h"
 #include "src/services/reports.h"
@@ -55,11 +55,11 @@
         journal_ = kernel.find<Journal>(names::journal);
         recovery_ = std::make_unique<WorkRecovery>(*journal_, lead_);
         operators_ = std::make_unique<OperatorCalls>(*journal_, lead_, settings_.peers.advertise);
-        workerLink_ = kernel.find<WorkerLink>(names::workerLink);
-        ticketOffice_ = kernel.find<TicketOffice>(names::ticketOffice);
-        desk_ = std::make_unique<GraphDesk>(*journal_, dispatcher_);
-        peers_ = kernel.find<Peers>(names::peers);
-        peers_->onCall([this](const Call &call, const ReplyHandler &done) { handle(call, done); });
+        Peers *peers = kernel.find<Peers>(names::peers);
+        dispatch_ = std::make_unique<DispatchDesk>(control_, *journal_, *peers,
+            kernel.find<WorkerLink>(names::workerLink),
+            kernel.find<TicketOffice>(names::ticketOffice), settings_.peers.advertise);
+        peers->onCall([this](const Call &call, const ReplyHandler &done) { handle(call, done); });
         scheduleSweep();
         if (callsWorkers_) {
             scheduleDispatch();
@@ -84,7 +84,7 @@
             return;
         }
         if (const TicketCall *ticket = std::get_if<TicketCall>(&call)) {
-            askTickets(*ticket, done);
+            dispatch_->handle(*ticket, done);
             return;
         }
         if (!journal_->leads()) {
@@ -97,7 +97,7 @@
 
     void learnWorkers(const std::vector<WorkerHeartbeat> &workers) override
     {
-        workers_ = workers;
+        dispatch_->learnWorkers(workers);
     }
 
 private:
@@ -107,25 +107,7 @@
         if (lead_ && lead_->term == term) {
             return;
         }
-        lead_ = std::make_unique<Leadership>(
-            term, settings_.times, journal_->state(),
-            [this, term](const Command &command, const ProposeHandler &done) {
-                journal_->propose(command, [this, term, done](const Result<ApplyReply> &reply) {
-                    // The asker is gone once this VM leads no more, or again in a later term.
-                    if (lead_ && lead_->term == term) {
-                        done(reply);
-                    }
-                });
-            },
-            monotonicNow());
-        if (callsWorkers_) {
-            makeDispatcher(term);
-        }
-    }
-
-    /// Decisions of an earlier term are of no use: their proposals are gone with it.
-    void makeDispatcher(Term term)
-    {
+        // Who proposed is gone once this VM leads no more, or again in a later term.
         const RunSupervisor::Propose propose = [this, term](const Command &command,
                                                    const ProposeHandler &done) {
             journal_->propose(command, [this, term, done](const Result<ApplyReply> &reply) {
@@ -134,79 +116,29 @@
                 }
             });
         };
-        dispatcher_ = Dispatcher::make({control_, *journal_, *peers_, *workerLink_, *ticketOffice_,
-                                           settings_.peers.advertise, term, propose},
-            monotonicNow());
-        // Leases of what runs are short: it is looked for where the last leader knew it to be.
-        for (const WorkerHeartbeat &worker : workers_) {
-            dispatcher_->heard(worker, monotonicNow());
-        }
-    }
-
-    void askTickets(const TicketCall &call, const ReplyHandler &done)
-    {
-        if (ticketOffice_ == nullptr) {
-            done(Reply {TicketReply {}});
-            return;
-        }
-        ticketOffice_->ask(call.step, call.workers, call.limit, [done](const TicketAnswer &answer) {
-            done(Reply {TicketReply {answer.answered, answer.allowed, answer.validity}});
-        });
+        lead_ = std::make_unique<Leadership>(
+            term, settings_.times, journal_->state(), propose, monotonicNow());
+        dispatch_->lead(term, propose);
     }
 
     void on(const GraphCall &call, const ReplyHandler &done)
     {
-        desk_->handle(call, done);
+        dispatch_->handle(call, done);
     }
 
     void on(const CatalogCall &call, const ReplyHandler &done)
     {
-        desk_->handle(call, done);
+        dispatch_->handle(call, done);
     }
 
     void on(const HeartbeatCall &call, const ReplyHandler &done)
     {
-        if (dispatcher_ && call.leaves) {
-            dispatcher_->left(call.heartbeat.id, call.heartbeat.incarnation, monotonicNow());
-        } else if (dispatcher_) {
-            dispatcher_->heard(call.heartbeat, monotonicNow());
-        }
-        const WorkerHeartbeat &heard = call.heartbeat;
-        if (heard.draining && !journal_->state().isLeaving(heard.id, heard.incarnation)) {
-            noteLeaving(heard, done);
-            return;
-        }
-        done(Reply {HeartbeatReply {settings_.peers.advertise}});
-    }
-
-    /// Once this is acknowledged, no later leader may start anything there either.
-    void noteLeaving(const WorkerHeartbeat &worker, const ReplyHandler &done)
-    {
-        journal_->propose(NoteLeaving {worker.id, worker.incarnation, wallTimeNow()},
-            [this, done](const Result<ApplyReply> &reply) {
-                if (reply) {
-                    done(Reply {HeartbeatReply {settings_.peers.advertise}});
-                } else {
-                    done(reply.error());
-                }
-            });
+        dispatch_->handle(call, done);
     }
 
     void on(const PresenceCall &call, const ReplyHandler &done)
     {
-        journal_->offerReplica(call.vm, call.replica, call.address);
-        if (dispatcher_ && call.asksForTickets) {
-            dispatcher_->present(call.address, monotonicNow());
-        }
-        PresenceReply reply;
-        reply.leader = settings_.peers.advertise;
-        for (const Member &member : journal_->consensus()->membership().members) {
-            reply.replicas.push_back(member.address);
-        }
-        if (dispatcher_ && call.wantsWorkers) {
-            reply.workers = dispatcher_->supervisor().heardLately();
-        }
-        done(Reply {reply});
+        dispatch_->handle(call, done);
     }
 
     void on(const BeatCall &call, const ReplyHandler &done)
@@ -409,7 +341,7 @@
                 refreshLeadership();
                 sweep();
             } else {
-                dispatcher_.reset();
+                dispatch_->follow();
                 lead_.reset();
             }
             scheduleSweep();
@@ -425,7 +357,7 @@
             }
             if (journal_->leads()) {
                 refreshLeadership();
-                dispatcher_->tick(monotonicNow(), wallTimeNow());
+                dispatch_->tick();
             }
             scheduleDispatch();
         });
@@ -465,14 +397,9 @@
     asio::io_context &control_;
     Settings settings_;
     bool callsWorkers_;
-    std::vector<WorkerHeartbeat> workers_; // as the last leader listed them
-    Peers *peers_ = nullptr;
-    WorkerLink *workerLink_ = nullptr;
-    TicketOffice *ticketOffice_ = nullptr;
     Journal *journal_ = nullptr;
     std::unique_ptr<Leadership> lead_; // null while this VM does not lead
-    std::shared_ptr<Dispatcher> dispatcher_; // null while this VM does not lead
-    std::unique_ptr<GraphDesk> desk_;
+    std::unique_ptr<DispatchDesk> dispatch_;
     std::unique_ptr<WorkRecovery> recovery_;
     std::unique_ptr<OperatorCalls> operators_;
     asio::steady_timer sweepTimer_;
--- /dev/null
+++ b/src/services/runlists.cpp
@@ -0,0 +1,255 @@
+/// Holds: leases renewed, and what workers list taken in.
+
+#include "src/net/clock.h"
+#include "src/net/log.h"
+#include "src/services/runsupervisor.h"
+
+#include <algorithm>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+constexpr Milliseconds holdRetryPause {150};
+/// Holds in a row without an answer from which on no lease is given any more.
+constexpr std::uint32_t unansweredToLapse = 2;
+
+} // namespace
+
+void RunSupervisor::hold(const WorkerId &id, Worker &worker, MonotonicTime now)
+{
+    const bool departed = worker.leavesAt && now >= *worker.leavesAt;
+    if (!worker.known || worker.holding || now < worker.nextHold || departed
+        || !parts_.mayOrder()) {
+        return;
+    }
+    HoldOrder order;
+    order.fence = parts_.fence;
+    order.acknowledged = worker.recorded;
+    // A worker that does not answer is given no more leases, so that its runs are over some day.
+    if (worker.unanswered < unansweredToLapse) {
+        order.deadline = lease(worker, now);
+    }
+    // The first answer is needed at once: what a new leader adopts, and what has room.
+    order.wait = worker.answered == MonotonicTime {} || worker.unanswered > 0
+        ? Milliseconds {0}
+        : parts_.times.holdWait;
+    worker.holding = true;
+    parts_.link.hold(endpointOf(worker), order, order.wait + parts_.times.answerLimit,
+        [self = shared_from_this(), id, incarnation = worker.heartbeat.incarnation, now](
+            const HoldOutcome &outcome) { self->holdAnswered(id, incarnation, outcome, now); });
+}
+
+void RunSupervisor::holdAnswered(const WorkerId &id, const Incarnation &incarnation,
+    const HoldOutcome &outcome, MonotonicTime sent)
+{
+    const auto found = workers_.find(id);
+    if (found == workers_.end() || found->second.heartbeat.incarnation != incarnation) {
+        return;
+    }
+    Worker &worker = found->second;
+    const MonotonicTime now = monotonicNow();
+    worker.holding = false;
+    if (outcome.clock) {
+        worker.clock.observed(*outcome.clock, now);
+    }
+    const Incarnation &answering = outcome.report.incarnation;
+    if (!outcome.error && answering != incarnation) {
+        // Its heartbeat is still on its way.
+        WorkerHeartbeat other = worker.heartbeat;
+        other.incarnation = answering;
+        other.sequence = 0;
+        other.clock = outcome.clock;
+        replaceIncarnation(worker, other, now);
+        updateFleet(worker, now);
+        hold(id, worker, now);
+        return;
+    }
+    if (outcome.error == HoldError::OtherIncarnation) {
+        worker.nextHold = now + holdRetryPause;
+        incarnationGone(id, incarnation);
+        return;
+    }
+    if (outcome.error) {
+        ++worker.unanswered;
+        worker.nextHold = now + holdRetryPause;
+        if (worker.unanswered == 1) {
+            logWarning("worker.unanswered",
+                {{"worker", id.value()}, {"fenced", outcome.error == HoldError::Fenced}});
+        }
+        updateFleet(worker, now);
+        return;
+    }
+    if (worker.unanswered > 0) {
+        logInfo("worker.answers_again",
+            {{"worker", id.value()}, {"missed", std::uint64_t {worker.unanswered}}});
+    }
+    worker.unanswered = 0;
+    worker.answered = sent;
+    worker.nextHold = now;
+    updateFleet(worker, now);
+    takeReport(id, worker, outcome.report, sent);
+}
+
+void RunSupervisor::takeReport(
+    const WorkerId &id, Worker &worker, const HoldReport &report, MonotonicTime sent)
+{
+    std::set<TaskRef> listed;
+    std::vector<EndedRun> ended;
+    EndNumber last = worker.recorded;
+    for (const ListedEnd &end : report.ended) {
+        last = std::max(last, end.number);
+        listed.insert(end.task);
+        Run *run = findRun(end.task, end.run);
+        if (run != nullptr && run->placement.worker == id) {
+            run->ending = true;
+            judge(id, end);
+        }
+        ended.push_back({end.task, end.run, end.end, end.saved});
+    }
+    for (const ListedRun &running : report.running) {
+        listed.insert(running.task);
+        takeRunning(id, worker, running);
+    }
+    std::vector<EndedRun> absent;
+    for (const TaskRef &task : worker.runs) {
+        Run &run = runs_.at(task);
+        const bool onThis = run.placement.incarnation == report.incarnation;
+        if (!onThis || listed.contains(task) || run.ending) {
+            continue;
+        }
+        if (run.settledAt && *run.settledAt < sent) {
+            absent.push_back(overAs(run, RunEnd::Lost));
+        } else if (run.stage == Stage::Adopted) {
+            run.stage = Stage::Stopping; // the earlier leader's order may still arrive
+        }
+    }
+    endRuns(absent);
+    if (ended.empty()) {
+        hold(id, worker, monotonicNow());
+    } else {
+        recordEnds(id, worker.heartbeat.incarnation, ended, last);
+    }
+}
+
+void RunSupervisor::takeRunning(const WorkerId &id, Worker &worker, const ListedRun &listed)
+{
+    Run *run = findRun(listed.task, listed.run);
+    if (run == nullptr || run->placement.worker != id) {
+        stopUnknown(id, worker, listed);
+        return;
+    }
+    if (run->stage == Stage::Adopted || run->stage == Stage::Starting) {
+        run->stage = Stage::Running;
+        run->settledAt = monotonicNow();
+    }
+    if (run->stage == Stage::Running) {
+        watchProgress(id, *run, listed);
+    } else if (run->stage == Stage::Stopping && run->settledAt
+        && monotonicNow() - *run->settledAt > parts_.times.orderLimit * 2) {
+        run->settledAt.reset(); // the stop did not take: order it again
+    }
+}
+
+/// Those of the jobs that were open before and are not any more.
+void RunSupervisor::logEnded(const std::set<GraphId> &wereOpen) const
+{
+    for (const GraphId &id : wereOpen) {
+        const Graph *graph = parts_.state.graphs().find(id);
+        if (graph == nullptr || graph->state == GraphState::Open) {
+            continue;
+        }
+        logInfo("job.ended",
+            {{"job", id.value()}, {"succeeded", graph->state == GraphState::Succeeded},
+                {"took_ms",
+                    static_cast<std::uint64_t>((graph->endedAt - graph->acceptedAt).count())}});
+    }
+}
+
+std::set<GraphId> RunSupervisor::openAmong(const std::vector<EndedRun> &ended) const
+{
+    std::set<GraphId> open;
+    for (const EndedRun &end : ended) {
+        if (parts_.state.graphs().open().contains(end.task.graph)) {
+            open.insert(end.task.graph);
+        }
+    }
+    return open;
+}
+
+/// Stops a run that stands still, so that it is started elsewhere.
+void RunSupervisor::watchProgress(const WorkerId &id, Run &run, const ListedRun &listed)
+{
+    const MonotonicTime now = monotonicNow();
+    if (run.progressed == MonotonicTime {} || listed.percent != run.percent) {
+        run.percent = listed.percent;
+        run.progressed = now;
+        return;
+    }
+    const Milliseconds patience = std::max(parts_.times.stall,
+        std::chrono::duration_cast<Milliseconds>(run.spec.estimate * parts_.times.stallShare));
+    if (run.spec.lasting || now - run.progressed <= patience) {
+        return;
+    }
+    logWarning("run.stalled",
+        {{"job", listed.task.graph.value()}, {"worker", id.value()},
+            {"percent", std::uint64_t {listed.percent}}});
+    health_.stalled(id, now);
+    run.stage = Stage::Stopping;
+    run.settledAt.reset();
+    run.nextOrder = now;
+}
+
+/// Only a task's own end says something about its worker.
+void RunSupervisor::judge(const WorkerId &id, const ListedEnd &end)
+{
+    if (end.end == RunEnd::Failed) {
+        logInfo("run.failed",
+            {{"job", end.task.graph.value()}, {"step", std::uint64_t {end.task.step}},
+                {"task", std::uint64_t {end.task.task}}, {"run", std::uint64_t {end.run.value()}},
+                {"worker", id.value()}});
+    }
+    if (end.end == RunEnd::Succeeded) {
+        health_.succeeded(id);
+    } else if (end.end == RunEnd::Failed) {
+        health_.failed(id, end.task.graph, monotonicNow());
+    }
+}
+
+void RunSupervisor::recordEnds(const WorkerId &id, const Incarnation &incarnation,
+    const std::vector<EndedRun> &ended, EndNumber last)
+{
+    // The next hold acknowledges these ends, so it waits for their record.
+    Worker &worker = workers_.at(id);
+    worker.holding = true;
+    parts_.propose(EndRuns {ended, wallTimeNow()},
+        [self = shared_from_this(), id, incarnation, ended, last, open = openAmong(ended)](
+            const Result<ApplyReply> &reply) {
+            for (const EndedRun &end : ended) {
+                Run *run = self->findRun(end.task, end.run);
+                if (run == nullptr || run->placement.worker != id) {
+                    continue;
+                }
+                if (reply) {
+                    self->release(end);
+                } else {
+                    run->ending = false;
+                }
+            }
+            self->logEnded(open);
+            const auto found = self->workers_.find(id);
+            if (found != self->workers_.end()
+                && found->second.heartbeat.incarnation == incarnation) {
+                found->second.holding = false;
+                if (reply) {
+                    found->second.recorded = std::max(found->second.recorded, last);
+                }
+                self->hold(id, found->second, monotonicNow());
+            }
+            self->parts_.freed();
+        });
+}
+
+} // namespace crocusmill
--- a/src/state/graphs.cpp
+++ b/src/state/graphs.cpp
@@ -1,5 +1,6 @@
 /// Commands on the catalog and on jobs that are graphs.
 
+#include <crocusmill/announcement.h>
 #include <crocusmill/statemachine.h>
 
 namespace crocusmill
@@ -52,7 +53,11 @@
 
 ApplyReply StateMachine::on(const NoteLeaving &command)
 {
-    leaving_[command.worker] = command;
+    const auto known = leaving_.find(command.worker);
+    // The word of an earlier process may come late.
+    if (known == leaving_.end() || !isNewer(known->second.incarnation, command.incarnation)) {
+        leaving_[command.worker] = command;
+    }
     return {};
 }
 
--- a/test/graphbook.cpp
+++ b/test/graphbook.cpp
@@ -214,6 +214,18 @@
     CHECK(graph.dueAt(2) == now + Milliseconds {1'000});
 }
 
+TEST_CASE("a late word of an earlier process does not hide that the present one leaves")
+{
+    StateMachine machine;
+    const WorkerId worker {"w"};
+    machine.apply(NoteLeaving {worker, Incarnation {"2000"}, now}, LogIndex {2});
+    machine.apply(NoteLeaving {worker, Incarnation {"1000"}, now}, LogIndex {3});
+    CHECK(machine.isLeaving(worker, Incarnation {"2000"}));
+    StateMachine other;
+    REQUIRE(other.restore(machine.snapshot()).has_value());
+    CHECK(other.isLeaving(worker, Incarnation {"2000"}));
+}
+
 TEST_CASE("queues and jobs are the same after a snapshot")
 {
     StateMachine machine;
