--- a/test/remedies/check.py
+++ b/test/remedies/check.py
@@ -31,7 +31,7 @@
     ("an answer belongs to its attempt", "src/net/forwarder.cpp",
      "if (response[std::string {headers::attempt}] != attempt.value()) {", "if (attempt.value().empty()) {",
      "live_a_caller_gets_the_whole"),
-    ("an answer that ended short is not whole", "src/net/forwarder.cpp",
+    ("an answer that ended short is not whole", "src/net/httpclient.cpp",
      "if (error || !delimited) {", "if (!delimited) {", "live_a_caller_gets_the_whole"),
     ("a key joins the work it belongs to", "src/state/workledger.cpp",
      "if (known != nullptr && !mayTryAgain) {", "if (known != nullptr && mayTryAgain) {",
