--- a/test/catalog.cpp
+++ b/test/catalog.cpp
@@ -10,8 +10,9 @@
 TEST_CASE("the longest prefix of the host's queues wins")
 {
     Catalog catalog;
-    for (const std::pair<std::string, std::string> &place :
-        {std::pair {"a.test", "/jobs/"}, {"a.test", "/jobs/heavy/"}, {"b.test", "/"}}) {
+    const std::vector<std::pair<std::string, std::string>> places {
+        {"a.test", "/jobs/"}, {"a.test", "/jobs/heavy/"}, {"b.test", "/"}};
+    for (const std::pair<std::string, std::string> &place : places) {
         Queue queue;
         queue.name = QueueName {place.first + place.second};
         queue.host = place.first;
--- a/test/consensus.cpp
+++ b/test/consensus.cpp
@@ -61,9 +61,9 @@
         REQUIRE(network.at(old).propose(payload).has_value());
     }
     network.runFor(Milliseconds {3000});
-    constexpr int proposals = 1500;
+    constexpr std::uint64_t proposals = 1500;
     const std::uint64_t before = network.bytesTo(old);
-    for (int i = 0; i < proposals; ++i) {
+    for (std::uint64_t i = 0; i < proposals; ++i) {
         proposeOne(network, payload);
         if (i % 4 == 0) {
             network.runFor(Milliseconds {10});
--- a/test/graphorder.cpp
+++ b/test/graphorder.cpp
@@ -43,6 +43,7 @@
         stepFor("a", 1, Milliseconds {2'000}), stepFor("quote", 0, Milliseconds {1'000})};
     sortByUrgency(steps, WallTime {Milliseconds {400}});
     std::vector<std::string> order;
+    order.reserve(steps.size());
     for (const ReadyStep &step : steps) {
         order.push_back(step.step.graph.value());
     }
