--- a/include/crocusmill/taskgraph.h
+++ b/include/crocusmill/taskgraph.h
@@ -84,6 +84,9 @@
     auto operator<=>(const TaskRef &) const = default;
 };
 
+/// GRAPH.OCCURRENCE.STEP.TASK, as log records name a task.
+[[nodiscard]] std::string asText(const TaskRef &task);
+
 struct RunPlacement
 {
     TaskRef task;
--- a/src/cell/workerhealth.cpp
+++ b/src/cell/workerhealth.cpp
@@ -15,7 +15,8 @@
 /// About the length of a short disturbance; a second one in a row lasts twice as long.
 constexpr Milliseconds firstPause {2'000};
 constexpr std::uint32_t mostDoublings = 3;
-constexpr std::size_t mostLeftOut = 4; // one of so many
+/// At most one worker in so many is left out.
+constexpr std::size_t workersPerPause = 4;
 
 } // namespace
 
@@ -71,7 +72,7 @@
 {
     const auto found = records_.find(worker);
     const bool isPaused = found != records_.end() && now < found->second.pausedUntil;
-    return !isPaused || paused(now) * mostLeftOut > workers;
+    return !isPaused || paused(now) * workersPerPause > workers;
 }
 
 } // namespace crocusmill
--- a/src/services/dispatchdesk.cpp
+++ b/src/services/dispatchdesk.cpp
@@ -15,7 +15,11 @@
     , link_(link)
     , office_(office)
     , self_(std::move(self))
-    , graphs_(journal, dispatcher_)
+    , graphs_(journal, [this]() {
+        if (dispatcher_) {
+            dispatcher_->wake();
+        }
+    })
 {
 }
 
--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -135,7 +135,7 @@
     const std::vector<GraphTask> &tasks = graph.occurrences[step.occurrence].steps[step.step].tasks;
     TaskRef ref = step;
     for (ref.task = 0; ref.task < tasks.size(); ++ref.task) {
-        if (tasks[ref.task].phase == TaskPhase::Waiting && !supervisor_->holds(ref)) {
+        if (tasks[ref.task].phase == TaskPhase::Waiting && !supervisor_->hasRun(ref)) {
             demand.waiting.push_back(ref.task);
         } else if (demand.spec->gang) {
             demand.waiting.clear(); // some of it is still there
@@ -256,9 +256,4 @@
     }
 }
 
-Milliseconds Dispatcher::retryAfter(const Queue & /*queue*/, const GraphSpec & /*spec*/) const
-{
-    return Milliseconds {0};
-}
-
 } // namespace crocusmill
--- a/src/services/dispatcher.h
+++ b/src/services/dispatcher.h
@@ -43,9 +43,6 @@
     void tick(MonotonicTime now, WallTime wall);
     /// Decides soon, outside of the caller.
     void wake();
-    /// Whether a job of this queue would wait so long that it had better come again later; zero:
-    /// no.
-    [[nodiscard]] Milliseconds retryAfter(const Queue &queue, const GraphSpec &spec) const;
     [[nodiscard]] const RunSupervisor &supervisor() const;
 
 private:
--- a/src/services/graphdesk.cpp
+++ b/src/services/graphdesk.cpp
@@ -35,9 +35,9 @@
 
 } // namespace
 
-GraphDesk::GraphDesk(Journal &journal, const std::shared_ptr<Dispatcher> &dispatcher)
+GraphDesk::GraphDesk(Journal &journal, std::function<void()> changed)
     : journal_(journal)
-    , dispatcher_(dispatcher)
+    , changed_(std::move(changed))
 {
 }
 
@@ -87,17 +87,6 @@
     command.spec.slackFactor = queue.slackFactor;
     command.spec.aim = queue.aim;
     command.at = wallTimeNow();
-    const Milliseconds wait =
-        dispatcher_ ? dispatcher_->retryAfter(queue, command.spec) : Milliseconds {0};
-    if (wait > Milliseconds {0}) {
-        GraphReply reply = replyWith(GraphOutcome::Refused);
-        reply.retryAfter = wait;
-        logInfo("job.refused",
-            {{"job", id.value()}, {"queue", queue.name.value()},
-                {"retry_after_ms", static_cast<std::uint64_t>(wait.count())}});
-        done(Reply {reply});
-        return;
-    }
     journal_.propose(command, [this, id, done, name = queue.name](const Result<ApplyReply> &reply) {
         if (!reply) {
             done(reply.error());
@@ -105,9 +94,7 @@
         }
         logInfo("job.accepted",
             {{"job", id.value()}, {"queue", name.value()}, {"again", reply.value().repeated}});
-        if (dispatcher_) {
-            dispatcher_->wake();
-        }
+        changed_();
         done(Reply {replyWith(GraphOutcome::Done)});
     });
 }
@@ -155,9 +142,7 @@
             logInfo("job.cancelled",
                 {{"job", id.value()},
                     {"state", graph == nullptr ? "unknown" : text(graph->state)}});
-            if (dispatcher_) {
-                dispatcher_->wake();
-            }
+            changed_();
             done(Reply {replyWith(GraphOutcome::Done)});
         });
 }
--- a/src/services/graphdesk.h
+++ b/src/services/graphdesk.h
@@ -2,16 +2,18 @@
 
 #pragma once
 
-#include "src/services/dispatcher.h"
 #include "src/services/interfaces.h"
 
+#include <functional>
+
 namespace crocusmill
 {
 
 class GraphDesk
 {
 public:
-    GraphDesk(Journal &journal, const std::shared_ptr<Dispatcher> &dispatcher);
+    /// `changed` is told when there is something new to decide.
+    GraphDesk(Journal &journal, std::function<void()> changed);
 
     void handle(const GraphCall &call, const ReplyHandler &done);
     void handle(const CatalogCall &call, const ReplyHandler &done);
@@ -25,8 +27,7 @@
     [[nodiscard]] const Graph *find(const Queue &queue, const GraphId &id) const;
 
     Journal &journal_;
-    // Null where this VM does not lead.
-    const std::shared_ptr<Dispatcher> &dispatcher_;
+    std::function<void()> changed_;
 };
 
 } // namespace crocusmill
--- a/src/services/journalservice.cpp
+++ b/src/services/journalservice.cpp
@@ -12,7 +12,6 @@
 
 #include <boost/asio/thread_pool.hpp>
 
-#include <csignal>
 #include <random>
 
 namespace crocusmill
@@ -33,10 +32,11 @@
 class JournalService final : public Service, public Journal
 {
 public:
-    JournalService(
-        asio::io_context &control, const Settings &settings, std::unique_ptr<Storage> storage)
+    JournalService(asio::io_context &control, const Settings &settings,
+        std::unique_ptr<Storage> storage, std::function<void()> stopProcess)
         : control_(control)
         , settings_(settings)
+        , stopProcess_(std::move(stopProcess))
         , storage_(std::move(storage))
         , tick_(control)
         , repair_(voterTarget(settings), settings.state.value_or(StateSettings {}).replaceAfter)
@@ -300,7 +300,7 @@
             return;
         }
         failed_ = true;
-        std::raise(SIGTERM);
+        stopProcess_();
         logError("journal.failed", {{"error", error}});
         proposals_.failAll(error);
     }
@@ -411,6 +411,7 @@
 
     asio::io_context &control_;
     Settings settings_;
+    std::function<void()> stopProcess_;
     std::unique_ptr<Storage> storage_;
     std::unique_ptr<Consensus> consensus_;
     StateMachine state_;
@@ -431,10 +432,11 @@
 
 } // namespace
 
-std::unique_ptr<Service> makeJournalService(
-    asio::io_context &control, const Settings &settings, std::unique_ptr<Storage> storage)
+std::unique_ptr<Service> makeJournalService(asio::io_context &control, const Settings &settings,
+    std::unique_ptr<Storage> storage, std::function<void()> stopProcess)
 {
-    return std::make_unique<JournalService>(control, settings, std::move(storage));
+    return std::make_unique<JournalService>(
+        control, settings, std::move(storage), std::move(stopProcess));
 }
 
 } // namespace crocusmill
--- a/src/services/journalservice.h
+++ b/src/services/journalservice.h
@@ -8,13 +8,15 @@
 #include <crocusmill/settings.h>
 #include <crocusmill/storage.h>
 
+#include <functional>
 #include <memory>
 
 namespace crocusmill
 {
 
 /// `storage` is null on a VM without a data folder; its journal only answers that it has none.
-[[nodiscard]] std::unique_ptr<Service> makeJournalService(
-    asio::io_context &control, const Settings &settings, std::unique_ptr<Storage> storage);
+/// `stopProcess` is called when the disk refuses a write.
+[[nodiscard]] std::unique_ptr<Service> makeJournalService(asio::io_context &control,
+    const Settings &settings, std::unique_ptr<Storage> storage, std::function<void()> stopProcess);
 
 } // namespace crocusmill
--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -170,7 +170,7 @@
         reply.environments = environmentsSince(journal_->state(), call.configuration);
         reply.directory = lead_->directory.version();
         reply.upstreams = lead_->directory.changedSince(call.directory);
-        reply.departed = departed(call.lingering, now);
+        reply.departed = lead_->departed(call.lingering, now);
         reply.adopt = adoptionsFor(call);
         for (const Member &member : journal_->consensus()->membership().members) {
             reply.replicas.push_back(member.address);
@@ -178,33 +178,6 @@
         done(Reply {reply});
     }
 
-    /// Attempts that an announcement made after the question does not list as running any more.
-    std::vector<AttemptId> departed(
-        const std::vector<LingeringAttempt> &lingering, MonotonicTime now)
-    {
-        std::vector<AttemptId> left;
-        for (const LingeringAttempt &line : lingering) {
-            const MonotonicTime asked =
-                lead_->lingering.try_emplace(line.attempt, now).first->second;
-            const Directory::Record *upstream = lead_->directory.find(line.upstream);
-            const bool over = upstream != nullptr
-                && (upstream->gone || upstream->announcement.incarnation != line.incarnation
-                    || (lead_->announcedAt[line.upstream] > asked
-                        && !isRunning(*upstream, line.attempt)));
-            if (over) {
-                left.push_back(line.attempt);
-                lead_->lingering.erase(line.attempt);
-            }
-        }
-        return left;
-    }
-
-    static bool isRunning(const Directory::Record &upstream, const AttemptId &attempt)
-    {
-        const std::vector<AttemptId> &running = upstream.announcement.running;
-        return std::find(running.begin(), running.end(), attempt) != running.end();
-    }
-
     std::vector<Work> adoptionsFor(const BeatCall &call)
     {
         std::vector<Work> adopted;
--- a/src/services/leadership.h
+++ b/src/services/leadership.h
@@ -31,6 +31,10 @@
     {
     }
 
+    /// Attempts that an announcement made after the question does not list as running any more.
+    [[nodiscard]] std::vector<AttemptId> departed(
+        const std::vector<LingeringAttempt> &asked, MonotonicTime now);
+
     Term term;
     Directory directory;
     SlotLedger ledger;
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -5,8 +5,6 @@
 #include "src/net/clock.h"
 #include "src/net/log.h"
 
-#include <boost/json.hpp>
-
 #include <algorithm>
 
 namespace crocusmill
@@ -17,15 +15,6 @@
 
 /// A start that stays unanswered this often is settled by a stop.
 constexpr std::uint32_t mostStarts = 6;
-/// A worker that refuses orders is left alone this long, doubling with each refusal.
-constexpr Milliseconds firstRefusalPause {250};
-constexpr Milliseconds mostRefusalPause {4'000};
-
-std::string nameOf(const TaskRef &task)
-{
-    return task.graph.value() + "." + std::to_string(task.occurrence) + "."
-        + std::to_string(task.step) + "." + std::to_string(task.task);
-}
 
 std::string_view text(RunEnd end)
 {
@@ -156,7 +145,7 @@
             run->ending = true;
             fresh.push_back(end);
             logInfo("run.over",
-                {{"task", nameOf(end.task)}, {"run", std::uint64_t {end.run.value()}},
+                {{"task", asText(end.task)}, {"run", std::uint64_t {end.run.value()}},
                     {"worker", run->placement.worker.value()}, {"as", text(end.end)}});
         }
     }
@@ -251,162 +240,14 @@
     }
 }
 
-void RunSupervisor::sendStart(const TaskRef &task, Run &run, MonotonicTime now)
-{
-    Worker &worker = workerOf(run.placement.worker);
-    const Graph *graph = parts_.state.graphs().find(task.graph);
-    const bool sameProcess =
-        worker.known && worker.heartbeat.incarnation == run.placement.incarnation;
-    if (graph == nullptr || !sameProcess) {
-        run.nextOrder = now + parts_.times.orderPause;
-        return;
-    }
-    if (!run.deadline) {
-        run.deadline = lease(worker, now);
-    }
-    StartOrder order;
-    order.task = task;
-    order.run = run.placement.run;
-    order.payload = graph->spec.payload;
-    order.deadline = run.deadline.value_or(WorkerTime {});
-    order.fence = parts_.fence;
-    order.resume = graph->find(task)->saved;
-    order.ticket = run.ticket;
-    run.ordering = true;
-    ++run.orders;
-    parts_.link.start(endpointOf(worker), order, parts_.times.orderLimit,
-        [self = shared_from_this(), task, number = order.run, id = run.placement.worker](
-            StartOutcome outcome, std::optional<WorkerTime> clock) {
-            if (clock) {
-                self->workerOf(id).clock.observed(*clock, monotonicNow());
-            }
-            self->startAnswered(task, number, id, outcome);
-        });
-}
-
-void RunSupervisor::startAnswered(
-    const TaskRef &task, RunNumber number, const WorkerId &id, StartOutcome outcome)
-{
-    Run *run = findRun(task, number);
-    if (run == nullptr) {
-        return;
-    }
-    const MonotonicTime now = monotonicNow();
-    Worker &worker = workerOf(id);
-    run->ordering = false;
-    run->nextOrder = now + parts_.times.orderPause;
-    if (run->stage != Stage::Starting) {
-        return; // a list has shown more meanwhile
-    }
-    switch (outcome) {
-    case StartOutcome::Started:
-        run->stage = Stage::Running;
-        run->settledAt = now;
-        worker.refusals = 0;
-        return;
-    case StartOutcome::NotSent:
-        --run->orders;
-        return;
-    case StartOutcome::Unanswered:
-        return;
-    case StartOutcome::OtherIncarnation:
-        incarnationGone(id, run->placement.incarnation);
-        return;
-    case StartOutcome::Refused:
-        ++worker.refusals;
-        worker.refusedUntil = now
-            + std::min(firstRefusalPause * (1U << std::min(worker.refusals, 5U)), mostRefusalPause);
-        updateFleet(worker, now);
-        logInfo("run.refused",
-            {{"task", nameOf(task)}, {"worker", id.value()},
-                {"orders", std::uint64_t {run->orders}}});
-        if (run->orders == 1) {
-            endRuns({overAs(*run, RunEnd::NotStarted)});
-            return;
-        }
-        break; // an earlier order may still be carried out
-    case StartOutcome::Fenced:
-    case StartOutcome::Superseded:
-        logWarning("run.start_overtaken", {{"task", nameOf(task)}, {"worker", id.value()}});
-        break;
-    }
-    run->stage = Stage::Stopping;
-    run->nextOrder = now;
-}
-
-void RunSupervisor::sendStop(const TaskRef &task, Run &run, MonotonicTime now)
-{
-    Worker &worker = workerOf(run.placement.worker);
-    if (!worker.known || worker.heartbeat.incarnation != run.placement.incarnation) {
-        run.nextOrder = now + parts_.times.orderPause;
-        return;
-    }
-    run.ordering = true;
-    parts_.link.stop(endpointOf(worker), task, run.placement.run, parts_.fence,
-        parts_.times.orderLimit,
-        [self = shared_from_this(), task, number = run.placement.run](
-            StopOutcome outcome) { self->stopAnswered(task, number, outcome); });
-}
-
-void RunSupervisor::stopAnswered(const TaskRef &task, RunNumber number, StopOutcome outcome)
-{
-    Run *run = findRun(task, number);
-    if (run == nullptr) {
-        return;
-    }
-    const MonotonicTime now = monotonicNow();
-    run->ordering = false;
-    run->nextOrder = now + parts_.times.orderPause;
-    if (outcome == StopOutcome::Answered) {
-        run->settledAt = now;
-    } else if (outcome == StopOutcome::OtherIncarnation) {
-        incarnationGone(run->placement.worker, run->placement.incarnation);
-    }
-}
-
-/// Something runs that the journal does not have there.
-void RunSupervisor::stopUnknown(const WorkerId &id, const Worker &worker, const ListedRun &listed)
-{
-    logWarning("run.unknown_stopped",
-        {{"task", nameOf(listed.task)}, {"run", std::uint64_t {listed.run.value()}},
-            {"worker", id.value()}});
-    parts_.link.stop(endpointOf(worker), listed.task, listed.run, parts_.fence,
-        parts_.times.orderLimit, [](StopOutcome /*outcome*/) {});
-}
-
 const Fleet &RunSupervisor::fleet() const
 {
     return fleet_;
 }
 
-bool RunSupervisor::holds(const TaskRef &task) const
+bool RunSupervisor::hasRun(const TaskRef &task) const
 {
     return runs_.contains(task);
 }
 
-std::size_t RunSupervisor::workerCount() const
-{
-    return workers_.size();
-}
-
-std::size_t RunSupervisor::runCount() const
-{
-    return runs_.size();
-}
-
-std::string RunSupervisor::describe() const
-{
-    boost::json::array list;
-    for (const std::pair<const WorkerId, Worker> &known : workers_) {
-        const Worker &worker = known.second;
-        list.push_back(boost::json::object {{"id", known.first.value()},
-            {"incarnation", worker.heartbeat.incarnation.value()},
-            {"service", worker.heartbeat.service.value()},
-            {"availability_zone", worker.heartbeat.zone.value()},
-            {"rack", worker.heartbeat.rack.value()}, {"draining", worker.heartbeat.draining},
-            {"trusted", isTrusted(worker, now_)}, {"tasks", worker.runs.size()}});
-    }
-    return boost::json::serialize(list);
-}
-
 } // namespace crocusmill
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -77,13 +77,10 @@
     void start(const TaskRef &task, const std::optional<Ticket> &ticket, MonotonicTime now);
 
     [[nodiscard]] const Fleet &fleet() const;
-    [[nodiscard]] bool holds(const TaskRef &task) const;
-    [[nodiscard]] std::size_t workerCount() const;
-    [[nodiscard]] std::size_t runCount() const;
+    /// A run of the task counts on some worker.
+    [[nodiscard]] bool hasRun(const TaskRef &task) const;
     /// Workers that may be called, for the VM that leads next.
     [[nodiscard]] std::vector<WorkerHeartbeat> heardLately() const;
-    /// For operators: a line for each worker as JSON.
-    [[nodiscard]] std::string describe() const;
 
 private:
     enum class Stage {
--- a/src/services/ticketagents.cpp
+++ b/src/services/ticketagents.cpp
@@ -17,7 +17,7 @@
 /// A question that would be answered later than this is not asked yet.
 constexpr Milliseconds longestQueue {2'500};
 /// Beyond what the office should take, for the way there and back.
-constexpr Milliseconds slack {700};
+constexpr Milliseconds transit {700};
 
 Milliseconds timeOf(const TicketTerms &terms, std::size_t workers)
 {
@@ -69,7 +69,8 @@
     const Agents::iterator agent = leastBusy(now);
     const Milliseconds time = timeOf(terms, workers.size());
     agent->second.freeAt = std::max(agent->second.freeAt, now) + time;
-    const Milliseconds limit = std::chrono::ceil<Milliseconds>(agent->second.freeAt - now) + slack;
+    const Milliseconds limit =
+        std::chrono::ceil<Milliseconds>(agent->second.freeAt - now) + transit;
     if (agent->first == self_) {
         local_.ask(step, workers, limit, std::move(done));
         return;
--- a/src/state/graphbook.cpp
+++ b/src/state/graphbook.cpp
@@ -41,6 +41,12 @@
 
 } // namespace
 
+std::string asText(const TaskRef &task)
+{
+    return task.graph.value() + "." + std::to_string(task.occurrence) + "."
+        + std::to_string(task.step) + "." + std::to_string(task.task);
+}
+
 const GraphTask *Graph::find(const TaskRef &ref) const
 {
     if (ref.occurrence >= occurrences.size()
--- /dev/null
+++ b/test/live/startup.cpp
@@ -0,0 +1,53 @@
+/// VMs that have just started, or never get into the cell: they refuse, and say why.
+
+#include "test/live/cluster.h"
+
+#include <catch2/catch.hpp>
+
+namespace crocusmill::live
+{
+
+TEST_CASE("a VM with another peer key is refused, and both sides say so in their logs")
+{
+    Cluster cluster {24600, {4, 3, 20'000}};
+    cluster.useOtherKey(4);
+    for (std::uint32_t vm = 1; vm <= 4; ++vm) {
+        cluster.start(vm);
+    }
+    REQUIRE(eventually([&]() { return cluster.isReady(1) && cluster.isReady(2); }));
+    CHECK(eventually(
+        [&]() { return cluster.readLog(4).find("peer.handshake_refused") != std::string::npos; }));
+    const bool rejected = eventually([&]() {
+        for (std::uint32_t vm = 1; vm <= 3; ++vm) {
+            if (cluster.readLog(vm).find("peer.handshake_rejected") != std::string::npos) {
+                return true;
+            }
+        }
+        return false;
+    });
+    CHECK(rejected);
+    CHECK_FALSE(cluster.isReady(4));
+    const HttpReply reply = cluster.call(4, "POST", "/quotes", "x");
+    CHECK(reply.status == 503); // it has no configuration, so it cannot know which routes exist
+    CHECK(reply.execution() == "not_run");
+}
+
+TEST_CASE("an entry without a confirmed configuration answers 503 and not 404")
+{
+    Cluster cluster {25200};
+    cluster.startAll();
+    REQUIRE(cluster.promote(1, rocolaDocument(1), 1).status == 200);
+    cluster.kill(2);
+    cluster.kill(3);
+    cluster.kill(1);
+    cluster.start(1); // alone it finds no leader, so nothing is confirmed
+    HttpReply reply;
+    REQUIRE(eventually([&]() {
+        reply = cluster.call(1, "POST", "/quotes", "x");
+        return reply.status != 0;
+    }));
+    CHECK(reply.status == 503);
+    CHECK(reply.execution() == "not_run");
+}
+
+} // namespace crocusmill::live
