Calls find a new leader while the old one is still silent

Cause: a call to a leader that had gone was waited for 0.7 s before another replica was asked.

Ruled out: the takeover (0.04 s) and the new leader's load (later submissions take 65 ms).

Change: each 0.2 s without an answer the call also goes to another replica, which names the leader; a VM to which a call is open gets it once. Commands are idempotent by their ids.

Tests: "while a replica stays silent, the others are asked" and "a leader that is elected while the old one is silent is found at once" failed first (no call open: the old leader had been given up); "a leader that is slow to answer gets a call once".

--- a/src/services/clientservice.cpp
+++ b/src/services/clientservice.cpp
@@ -1,11 +1,13 @@
 /// Calls to the leader: directly when it is this VM, else to where it was last seen, else to each
-/// replica in turn until one knows it.
+/// replica in turn until one knows it. While a VM does not answer, the others are asked as well, so
+/// that a new leader is found before the old one is given up.
 
 #include "src/services/clientservice.h"
 
 #include "src/net/peerstream.h"
 
 #include <algorithm>
+#include <map>
 
 namespace crocusmill
 {
@@ -16,6 +18,8 @@
 constexpr Milliseconds retryPause {50};
 /// A leader answers within a tenth of this; one that does not may have been cut off or replaced.
 constexpr Milliseconds oneTry {700};
+/// A commit takes 20 to 60 ms; a VM that is silent this long may lead no more.
+constexpr Milliseconds silence {200};
 
 class ClientService final : public Service, public LeaderClient
 {
@@ -56,7 +60,7 @@
     {
         const std::shared_ptr<Pending> pending = std::make_shared<Pending>(
             Pending {std::move(call), std::chrono::steady_clock::now() + timeout, std::move(done),
-                asio::steady_timer {control_}});
+                asio::steady_timer {control_}, asio::steady_timer {control_}, {}, false});
         attempt(pending);
     }
 
@@ -79,6 +83,10 @@
         MonotonicTime until;
         ReplyHandler done;
         asio::steady_timer pause;
+        asio::steady_timer silence;
+        // VMs asked since the last pause; true: a call to it is open.
+        std::map<NodeAddress, bool> asked;
+        bool answered = false;
     };
     using PendingPtr = std::shared_ptr<Pending>;
 
@@ -86,25 +94,79 @@
     /// idempotent by the ids it carries, so sending one again is safe.
     void attempt(const PendingPtr &pending)
     {
-        const Milliseconds left = std::chrono::duration_cast<Milliseconds>(
-            pending->until - std::chrono::steady_clock::now());
+        if (pending->answered) {
+            return;
+        }
+        const Milliseconds left = timeLeft(*pending);
         if (stopping_ || left <= Milliseconds {0}) {
-            pending->done(stopping_ ? PeerError::Stopping : PeerError::TimedOut);
+            answer(pending, stopping_ ? PeerError::Stopping : PeerError::TimedOut);
             return;
         }
+        pending->asked.clear();
         const NodeAddress to = target();
-        if (to == self_ && journal_->leads()) {
-            leader_->handle(pending->call,
-                [this, pending, to](const Result<Reply> &reply) { finish(pending, to, reply); });
+        if (to == self_ && !journal_->leads()) {
+            forget(to);
+            again(pending);
             return;
         }
+        ask(pending, to);
+        watch(pending);
+    }
+
+    static Milliseconds timeLeft(const Pending &pending)
+    {
+        return std::chrono::duration_cast<Milliseconds>(
+            pending.until - std::chrono::steady_clock::now());
+    }
+
+    static void answer(const PendingPtr &pending, const Result<Reply> &reply)
+    {
+        pending->answered = true;
+        pending->pause.cancel();
+        pending->silence.cancel();
+        pending->done(reply);
+    }
+
+    void ask(const PendingPtr &pending, const NodeAddress &to)
+    {
+        pending->asked[to] = true;
+        const ReplyHandler heard = [this, pending, to](const Result<Reply> &reply) {
+            finish(pending, to, reply);
+        };
         if (to == self_) {
-            forget(to);
-            again(pending);
+            leader_->handle(pending->call, heard);
             return;
         }
-        peers_->call(to, pending->call, std::min(left, oneTry),
-            [this, pending, to](const Result<Reply> &reply) { finish(pending, to, reply); });
+        peers_->call(to, pending->call, std::min(timeLeft(*pending), oneTry), heard);
+    }
+
+    /// Asks one more replica each time nobody has answered for a while.
+    void watch(const PendingPtr &pending)
+    {
+        pending->silence.expires_after(silence);
+        pending->silence.async_wait([this, pending](const boost::system::error_code &error) {
+            if (error || stopping_ || pending->answered || timeLeft(*pending) <= Milliseconds {0}) {
+                return;
+            }
+            if (const std::optional<NodeAddress> other = nextBut(pending->asked)) {
+                ask(pending, *other);
+            }
+            watch(pending);
+        });
+    }
+
+    /// The next replica in turn that no call is open to.
+    std::optional<NodeAddress> nextBut(const std::map<NodeAddress, bool> &asked)
+    {
+        for (std::size_t i = 0; i < replicas_.size(); ++i) {
+            next_ = (next_ + 1) % replicas_.size();
+            const NodeAddress &replica = replicas_[next_];
+            const auto found = asked.find(replica);
+            if (replica != self_ && (found == asked.end() || !found->second)) {
+                return replica;
+            }
+        }
+        return std::nullopt;
     }
 
     NodeAddress target()
@@ -132,26 +194,33 @@
 
     void finish(const PendingPtr &pending, const NodeAddress &from, const Result<Reply> &reply)
     {
-        if (!reply) {
-            forget(from);
-            again(pending);
+        if (pending->answered) {
             return;
         }
-        const Redirect *redirect = std::get_if<Redirect>(&reply.value());
-        if (redirect == nullptr) {
+        pending->asked[from] = false;
+        const Redirect *redirect = reply ? std::get_if<Redirect>(&reply.value()) : nullptr;
+        if (reply && redirect == nullptr) {
             known_ = from;
-            pending->done(reply);
+            answer(pending, reply);
             return;
         }
         forget(from);
-        if (redirect->leader && *redirect->leader != from) {
+        if (redirect != nullptr && redirect->leader && *redirect->leader != from) {
             known_ = redirect->leader;
+            if (!pending->asked.contains(*known_)) {
+                ask(pending, *known_);
+            }
+        }
+        const bool open = std::any_of(pending->asked.begin(), pending->asked.end(),
+            [](const std::pair<const NodeAddress, bool> &one) { return one.second; });
+        if (!open) {
+            again(pending);
         }
-        again(pending);
     }
 
     void again(const PendingPtr &pending)
     {
+        pending->silence.cancel();
         pending->pause.expires_after(retryPause);
         pending->pause.async_wait(
             [this, pending](const boost::system::error_code & /*error*/) { attempt(pending); });
