A run that has outlived its estimate is not taken for one that stands still

Cause: workers count progress against the estimate, which clients state roughly, and show 100 percent from then on. A run at 100 percent for 3.5 s was taken for one that stands still and stopped.

Ruled out: runs that fail by themselves (358, spread evenly over 48 workers and 305 jobs).

Change: at 100 percent a run is left alone for 15 s or ten estimates. The comment that called the figure a speed was wrong.

Test: "a run that stands still is stopped; one that has outlived its estimate is not" failed first.

--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -187,8 +187,12 @@
         run.progressed = now;
         return;
     }
-    const Milliseconds patience = std::max(parts_.times.stall,
-        std::chrono::duration_cast<Milliseconds>(run.spec.estimate * parts_.times.stallShare));
+    constexpr std::uint32_t beyondEstimate = 100;
+    const SupervisorTimes &times = parts_.times;
+    const bool overruns = listed.percent >= beyondEstimate;
+    const Milliseconds patience = std::max(overruns ? times.overrun : times.stall,
+        std::chrono::duration_cast<Milliseconds>(
+            run.spec.estimate * (overruns ? times.overrunEstimates : times.stallShare)));
     if (run.spec.lasting || now - run.progressed <= patience) {
         return;
     }
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -39,6 +39,10 @@
     /// A task without progress this long stands still, or this share of its estimate.
     Milliseconds stall {3'500}; // longer than a gang waits for its members
     double stallShare = 0.1;
+    /// Progress is counted against the estimate, so a task that has reached it shows none any more.
+    /// It is left alone this long, or this many estimates; some take ten times what was stated.
+    Milliseconds overrun {15'000};
+    double overrunEstimates = 10;
     /// A worker says that it leaves shortly before its process ends.
     Milliseconds departure {1'000};
 };
--- a/src/services/workerlink.h
+++ b/src/services/workerlink.h
@@ -56,7 +56,7 @@
     TaskRef task;
     RunNumber run;
     Checkpoint saved;
-    std::uint32_t percent = 0; // of full speed; 100: at work
+    std::uint32_t percent = 0; // of the estimated work; 100 also beyond it. A service: at work
 };
 
 struct ListedEnd
--- a/test/runsupervisor.cpp
+++ b/test/runsupervisor.cpp
@@ -29,7 +29,7 @@
 /// A supervisor whose journal applies at once.
 struct Bench
 {
-    explicit Bench(bool takesOver = false)
+    explicit Bench(bool takesOver = false, const SupervisorTimes &times = {})
     {
         state.apply(SubmitGraph {graphOf("g", {stepOf(1)}), wall}, LogIndex {1});
         if (takesOver) {
@@ -40,7 +40,7 @@
                 [this](const Command &command, const ProposeHandler &done) {
                     done(state.apply(command, LogIndex {++index}));
                 },
-                [this]() { return mayOrder; }, FencingToken {7}, SupervisorTimes {},
+                [this]() { return mayOrder; }, FencingToken {7}, times,
                 []() {
                 }},
             start);
@@ -85,10 +85,10 @@
         return state.graphs().find(task.graph)->find(task)->phase;
     }
 
-    static HoldReport running(std::uint32_t run = 1)
+    static HoldReport running(std::uint32_t run = 1, std::uint32_t percent = 100)
     {
         HoldReport report;
-        report.running.push_back({task, RunNumber {run}, {}, 100});
+        report.running.push_back({task, RunNumber {run}, {}, percent});
         return report;
     }
 
@@ -128,6 +128,22 @@
 
 } // namespace
 
+TEST_CASE("a run that stands still is stopped; one that has outlived its estimate is not")
+{
+    SupervisorTimes times;
+    times.stall = Milliseconds {1};
+    times.stallShare = 0;
+    Bench bench {false, times};
+    bench.begin();
+    bench.link.answerStart(StartOutcome::Started);
+    const std::uint32_t percent = GENERATE(40U, 100U);
+    bench.link.answerHold(Bench::running(1, percent));
+    pause();
+    bench.link.answerHold(Bench::running(1, percent));
+    bench.tick(Milliseconds {10});
+    CHECK(bench.link.stops.size() == (percent < 100 ? 1 : 0));
+}
+
 TEST_CASE("a supervisor that is retired gives no orders and records nothing")
 {
     Bench bench;
