--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -319,10 +319,15 @@
             if (error) {
                 return;
             }
+            const bool lapses = !journal_->leads() && leadsStill();
+            if (lapses != std::exchange(lapsed_, lapses)) {
+                logWarning(lapses ? "leader.lease_lapsed" : "leader.lease_lapse_over",
+                    {{"term", journal_->consensus()->term().value()}});
+            }
             if (journal_->leads()) {
                 refreshLeadership();
                 sweep();
-            } else if (!leadsStill()) {
+            } else if (!lapses) {
                 dispatch_->follow();
                 lead_.reset();
             }
@@ -381,6 +386,7 @@
     bool callsWorkers_;
     Journal *journal_ = nullptr;
     std::unique_ptr<Leadership> lead_; // null while this VM does not lead
+    bool lapsed_ = false; // the term is this VM's, and its lease has run out
     std::unique_ptr<DispatchDesk> dispatch_;
     std::unique_ptr<WorkRecovery> recovery_;
     std::unique_ptr<OperatorCalls> operators_;
