--- a/src/services/dispatchtickets.cpp
+++ b/src/services/dispatchtickets.cpp
@@ -93,6 +93,7 @@
         return;
     }
     const TaskRef step = stepRef(demand.step);
+    book_.asked(step, workers); // before the answer, which may come at once
     const bool asked = agents_.ask(step, workers, terms, now,
         [weak = weak_from_this(), step, workers, validity = terms.validity, asked = now](
             const TicketAnswer &answer) {
@@ -100,8 +101,8 @@
                 self->answered(step, workers, answer, validity, asked);
             }
         });
-    if (asked) {
-        book_.asked(step, workers);
+    if (!asked) {
+        book_.unanswered(step, workers);
     }
 }
 
--- /dev/null
+++ b/test/dispatcher.cpp
@@ -0,0 +1,78 @@
+/// Jobs from their submission to the order that starts them.
+
+#include "test/fakes/callingleader.h"
+#include "test/fakes/graphs.h"
+
+#include <catch2/catch.hpp>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+using fakes::CallingLeader;
+using fakes::quotesQueue;
+using fakes::stepOf;
+
+constexpr Milliseconds someRounds {200};
+
+} // namespace
+
+TEST_CASE("a job is recorded, placed and started; the next step follows the end of the first")
+{
+    CallingLeader leader;
+    REQUIRE(leader.started);
+    leader.installQueue(quotesQueue());
+    leader.addWorker("w", 8'000);
+    StepSpec second = stepOf(1);
+    second.after = {0};
+    CHECK(leader.submit("00000000000000aa", {stepOf(2), second}).outcome == GraphOutcome::Done);
+    leader.control.run_for(someRounds);
+    REQUIRE(leader.link.starts.size() == 2);
+    HoldReport report;
+    for (std::uint64_t i = 0; i < 2; ++i) {
+        const StartOrder &order = leader.link.starts[i].order;
+        leader.link.starts[i].done(StartOutcome::Started, WorkerTime {1'000});
+        report.ended.push_back(
+            {EndNumber {i + 1}, order.task, order.run, RunEnd::Succeeded, Checkpoint {}});
+    }
+    leader.link.answerHold(report);
+    leader.control.run_for(someRounds);
+    REQUIRE(leader.link.starts.size() == 3);
+    CHECK(leader.link.starts.back().order.task.step == 1);
+    // The end was recorded before the worker is told to forget it.
+    CHECK(leader.link.holds.back().order.acknowledged == EndNumber {2});
+}
+
+TEST_CASE("a question about tickets that fails at once is put again")
+{
+    CallingLeader leader;
+    Queue queue = quotesQueue();
+    queue.tickets = TicketTerms {};
+    leader.installQueue(queue);
+    leader.addWorker("w", 8'000);
+    leader.office.unanswered = 2;
+    CHECK(leader.submit("00000000000000bb", {stepOf(1)}).outcome == GraphOutcome::Done);
+    leader.control.run_for(someRounds);
+    CHECK(leader.office.questions == 3);
+    REQUIRE(leader.link.starts.size() == 1);
+    CHECK(leader.link.starts.back().order.ticket == Ticket {"ticket"});
+}
+
+TEST_CASE("a wide gang is not started in part while there is no room for all of it")
+{
+    CallingLeader leader;
+    leader.installQueue(quotesQueue());
+    leader.addWorker("w", 3'000);
+    StepSpec gang = stepOf(4);
+    gang.gang = true;
+    CHECK(leader.submit("00000000000000cc", {gang}).outcome == GraphOutcome::Done);
+    leader.control.run_for(someRounds);
+    CHECK(leader.link.starts.empty());
+    leader.addWorker("v", 1'000);
+    leader.control.run_for(someRounds);
+    CHECK(leader.link.starts.size() == 4);
+}
+
+} // namespace crocusmill
--- /dev/null
+++ b/test/fakes/callingleader.h
@@ -0,0 +1,152 @@
+/// A leader that calls workers, with everything around it faked.
+
+#pragma once
+
+#include "src/services/leaderservice.h"
+#include "test/fakes/services.h"
+#include "test/fakes/workerlink.h"
+
+#include <algorithm>
+
+namespace crocusmill::fakes
+{
+
+class LinkService final : public Service, public FakeWorkerLink
+{
+public:
+    std::string_view name() const override
+    {
+        return names::workerLink;
+    }
+
+    std::vector<std::string_view> needs() const override
+    {
+        return {};
+    }
+
+    Result<void> start(Kernel & /*kernel*/) override
+    {
+        return success();
+    }
+
+    void stop() override
+    {
+    }
+};
+
+/// Answers at once; all workers are allowed.
+class OfficeService final : public Service, public TicketOffice
+{
+public:
+    std::string_view name() const override
+    {
+        return names::ticketOffice;
+    }
+
+    std::vector<std::string_view> needs() const override
+    {
+        return {};
+    }
+
+    Result<void> start(Kernel & /*kernel*/) override
+    {
+        return success();
+    }
+
+    void stop() override
+    {
+    }
+
+    void ask(const TaskRef & /*step*/, const std::vector<WorkerId> &workers, Milliseconds /*limit*/,
+        std::function<void(const TicketAnswer &)> done) override
+    {
+        ++questions;
+        TicketAnswer answer;
+        answer.answered = unanswered == 0;
+        unanswered -= std::min(unanswered, 1);
+        if (answer.answered) {
+            for (const WorkerId &worker : workers) {
+                answer.allowed.push_back({worker, Ticket {"ticket"}});
+            }
+            answer.validity = Milliseconds {60'000};
+        }
+        done(answer);
+    }
+
+    int questions = 0;
+    int unanswered = 0; // the next so many
+};
+
+struct CallingLeader
+{
+    CallingLeader()
+    {
+        settings.state = StateSettings {};
+        settings.peers.advertise = NodeAddress {"10.0.0.1", 7000};
+        kernel.add(std::unique_ptr<Service> {&journal});
+        kernel.add(std::unique_ptr<Service> {&peers});
+        kernel.add(std::unique_ptr<Service> {&link});
+        kernel.add(std::unique_ptr<Service> {&office});
+        kernel.add(makeLeaderService(control, settings, true));
+        started = kernel.start().has_value();
+    }
+
+    ~CallingLeader()
+    {
+        kernel.stop();
+    }
+
+    /// A worker is heard, and its first list is empty.
+    void addWorker(const std::string &id, std::uint32_t milliCores)
+    {
+        HeartbeatCall call;
+        call.heartbeat.id = WorkerId {id};
+        call.heartbeat.incarnation = Incarnation {"1000"};
+        call.heartbeat.sequence = 1;
+        call.heartbeat.service = ServiceName {"matching"};
+        call.heartbeat.capacity.milliCores = milliCores;
+        static_cast<void>(peers.ask(call));
+        link.answerHold({});
+    }
+
+    void installQueue(const Queue &queue)
+    {
+        Catalog catalog;
+        catalog.version = DocumentVersion {1};
+        catalog.queues.push_back(queue);
+        static_cast<void>(peers.ask(CatalogCall {catalog}));
+    }
+
+    GraphReply submit(const std::string &id, const std::vector<StepSpec> &steps)
+    {
+        GraphCall call;
+        call.action = GraphAction::Submit;
+        call.host = "desk.example";
+        call.path = "/quotes/" + id;
+        call.spec = GraphSpec {};
+        call.spec->steps = steps;
+        return std::get<GraphReply>(peers.ask(call));
+    }
+
+    asio::io_context control;
+    Settings settings;
+    // Owned by the kernel.
+    FakeJournal &journal = *new FakeJournal(settings.times);
+    FakePeers &peers = *new FakePeers;
+    LinkService &link = *new LinkService;
+    OfficeService &office = *new OfficeService;
+    Kernel kernel;
+    bool started = false;
+};
+
+inline Queue quotesQueue()
+{
+    Queue queue;
+    queue.name = QueueName {"quotes"};
+    queue.host = "desk.example";
+    queue.prefix = "/quotes/";
+    queue.service = ServiceName {"matching"};
+    return queue;
+}
+
+} // namespace crocusmill::fakes
--- a/test/leaderservice.cpp
+++ b/test/leaderservice.cpp
@@ -3,8 +3,7 @@
 #include "src/services/leaderservice.h"
 
 #include "src/net/peerstream.h"
-#include "test/fakes/services.h"
-#include "test/fakes/workerlink.h"
+#include "test/fakes/callingleader.h"
 
 #include <catch2/catch.hpp>
 
@@ -71,96 +70,24 @@
     CHECK(journal.state().openWork().contains(carried.work));
 }
 
-namespace
-{
-
-class LinkService final : public Service, public fakes::FakeWorkerLink
-{
-public:
-    std::string_view name() const override
-    {
-        return names::workerLink;
-    }
-
-    std::vector<std::string_view> needs() const override
-    {
-        return {};
-    }
-
-    Result<void> start(Kernel & /*kernel*/) override
-    {
-        return success();
-    }
-
-    void stop() override
-    {
-    }
-};
-
-class OfficeService final : public Service, public TicketOffice
-{
-public:
-    std::string_view name() const override
-    {
-        return names::ticketOffice;
-    }
-
-    std::vector<std::string_view> needs() const override
-    {
-        return {};
-    }
-
-    Result<void> start(Kernel & /*kernel*/) override
-    {
-        return success();
-    }
-
-    void stop() override
-    {
-    }
-
-    void ask(const TaskRef & /*step*/, const std::vector<WorkerId> & /*workers*/,
-        Milliseconds /*limit*/, std::function<void(const TicketAnswer &)> done) override
-    {
-        done({});
-    }
-};
-
-} // namespace
-
 TEST_CASE("a lease that lapses for a moment brings no second supervisor into the term")
 {
-    asio::io_context control;
-    Settings settings;
-    settings.state = StateSettings {};
-    Kernel kernel;
-    std::unique_ptr<FakeJournal> ownJournal = std::make_unique<FakeJournal>(settings.times);
-    std::unique_ptr<FakePeers> ownPeers = std::make_unique<FakePeers>();
-    std::unique_ptr<LinkService> ownLink = std::make_unique<LinkService>();
-    FakeJournal &journal = *ownJournal;
-    FakePeers &peers = *ownPeers;
-    LinkService &link = *ownLink;
-    kernel.add(std::move(ownJournal));
-    kernel.add(std::move(ownPeers));
-    kernel.add(std::move(ownLink));
-    kernel.add(std::make_unique<OfficeService>());
-    kernel.add(makeLeaderService(control, settings, true));
-    REQUIRE(kernel.start().has_value());
+    fakes::CallingLeader leader;
+    REQUIRE(leader.started);
     HeartbeatCall call;
     call.heartbeat.id = WorkerId {"w"};
     call.heartbeat.incarnation = Incarnation {"1000"};
     call.heartbeat.sequence = 1;
-    static_cast<void>(peers.ask(call));
-    REQUIRE(link.holds.size() == 1);
-    journal.setLeads(false);
-    control.run_for(Milliseconds {500}); // longer than between two sweeps
-    journal.setLeads(true);
+    static_cast<void>(leader.peers.ask(call));
+    REQUIRE(leader.link.holds.size() == 1);
+    leader.journal.setLeads(false);
+    leader.control.run_for(Milliseconds {500}); // longer than between two sweeps
+    leader.journal.setLeads(true);
     call.heartbeat.sequence = 2;
-    static_cast<void>(peers.ask(call));
-    control.run_for(Milliseconds {300});
+    static_cast<void>(leader.peers.ask(call));
+    leader.control.run_for(Milliseconds {300});
     // Two supervisors with one fence would stop what the other has started.
-    CHECK(link.holds.size() == 1);
-    kernel.stop();
+    CHECK(leader.link.holds.size() == 1);
 }
 
 } // namespace crocusmill
