--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -69,6 +69,7 @@
 
 Daemon::Daemon(Settings settings, std::function<Checked<Settings>()> reload)
     : settings_(std::move(settings))
+    , loopWatch_(loop_.context(), metrics_)
     , tracer_(settings_.trace, settings_.vm)
     , reload_(std::move(reload))
     , signals_(loop_.context(), SIGTERM, SIGINT)
@@ -100,7 +101,7 @@
     kernel_.add(makePeerService(loop_, settings_.peers, std::move(key)));
     kernel_.add(makeJournalService(control, settings_, std::move(storage),
         [this]() { asio::post(loop_.context(), [this]() { beginShutdown(); }); }));
-    kernel_.add(makeLeaderService(control, settings_, !settings_.platform.empty()));
+    kernel_.add(makeLeaderService(control, settings_, metrics_, !settings_.platform.empty()));
     kernel_.add(makeClientService(control, settings_));
     BOOST_OUTCOME_TRY(addFronts(traffic, replica));
     if (settings_.metrics) {
@@ -160,9 +161,11 @@
         startTraffic();
         awaitSignal();
         awaitReload();
+        loopWatch_.start();
         logInfo("daemon.started");
     });
     loop_.run([this]() {
+        loopWatch_.stop();
         stopTraffic();
         kernel_.stop();
     });
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "src/net/controlloop.h"
+#include "src/net/loopwatch.h"
 #include "src/net/metrics.h"
 #include "src/net/tracing.h"
 #include "src/services/ingress.h"
@@ -48,6 +49,7 @@
     Settings settings_;
     ControlLoop loop_;
     Metrics metrics_;
+    LoopWatch loopWatch_;
     Tracer tracer_;
     Kernel kernel_;
     std::vector<std::unique_ptr<asio::io_context>> traffic_;
--- a/src/services/dispatchdesk.cpp
+++ b/src/services/dispatchdesk.cpp
@@ -8,13 +8,14 @@
 {
 
 DispatchDesk::DispatchDesk(asio::io_context &control, Journal &journal, Peers &peers,
-    WorkerLink *link, TicketOffice *office, NodeAddress self)
+    WorkerLink *link, TicketOffice *office, NodeAddress self, Metrics &metrics)
     : control_(control)
     , journal_(journal)
     , peers_(peers)
     , link_(link)
     , office_(office)
     , self_(std::move(self))
+    , metrics_(metrics)
     , graphs_(journal, [this]() {
         if (dispatcher_) {
             dispatcher_->wake();
@@ -30,7 +31,8 @@
     }
     follow();
     dispatcher_ = Dispatcher::make(
-        {control_, journal_, peers_, *link_, *office_, self_, term, propose}, monotonicNow());
+        {control_, journal_, peers_, *link_, *office_, metrics_, self_, term, propose},
+        monotonicNow());
     // Leases of what runs are short: it is looked for where the last leader knew it to be.
     for (const WorkerHeartbeat &worker : workers_) {
         dispatcher_->heard(worker, monotonicNow());
@@ -59,6 +61,7 @@
 
 void DispatchDesk::handle(const GraphCall &call, const ReplyHandler &done)
 {
+    metrics_.count({"leader_calls_total", "call=\"job\""});
     graphs_.handle(call, done);
 }
 
@@ -69,6 +72,7 @@
 
 void DispatchDesk::handle(const HeartbeatCall &call, const ReplyHandler &done)
 {
+    metrics_.count({"leader_calls_total", "call=\"heartbeat\""});
     const WorkerHeartbeat &heard = call.heartbeat;
     if (dispatcher_ && call.leaves) {
         dispatcher_->left(heard.id, heard.incarnation, monotonicNow());
@@ -97,6 +101,7 @@
 
 void DispatchDesk::handle(const PresenceCall &call, const ReplyHandler &done)
 {
+    metrics_.count({"leader_calls_total", "call=\"presence\""});
     journal_.offerReplica(call.vm, call.replica, call.address);
     if (dispatcher_ && call.asksForTickets) {
         dispatcher_->present(call.address, monotonicNow());
--- a/src/services/dispatchdesk.h
+++ b/src/services/dispatchdesk.h
@@ -19,7 +19,7 @@
 public:
     /// `link` and `office` are null where no workers are called.
     DispatchDesk(asio::io_context &control, Journal &journal, Peers &peers, WorkerLink *link,
-        TicketOffice *office, NodeAddress self);
+        TicketOffice *office, NodeAddress self, Metrics &metrics);
 
     /// This VM leads in a new term; `propose` tells nothing once it leads no more.
     void lead(Term term, const RunSupervisor::Propose &propose);
@@ -43,6 +43,7 @@
     WorkerLink *link_;
     TicketOffice *office_;
     NodeAddress self_;
+    Metrics &metrics_;
     std::vector<WorkerHeartbeat> workers_; // as the last leader listed them
     std::shared_ptr<Dispatcher> dispatcher_; // null while this VM does not lead
     GraphDesk graphs_;
--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr Milliseconds forgetInterval {2'000};
+constexpr Milliseconds loadInterval {1'000}; // between records of the load
 /// What happens within this is decided and recorded together: at 700 starts a second a round for
 /// each event would take more than the processor has.
 constexpr Milliseconds roundPause {4};
@@ -91,6 +92,7 @@
 
 void Dispatcher::tick(MonotonicTime now, WallTime wall)
 {
+    const MonotonicTime began = monotonicNow();
     now_ = now;
     supervisor_->tick(now, wall);
     std::vector<ReadyStep> ready = readySteps(wall);
@@ -103,6 +105,37 @@
         forgetDue_ = now + forgetInterval;
         forgetTickets();
     }
+    noteRound(began, ready.size());
+}
+
+/// One record a second says what rounds cost and what they were given.
+void Dispatcher::noteRound(MonotonicTime began, std::size_t ready)
+{
+    const MonotonicTime now = monotonicNow();
+    const Microseconds took = std::chrono::duration_cast<Microseconds>(now - began);
+    parts_.metrics.observe({"dispatch_round_seconds", ""}, took);
+    ++sums_.rounds;
+    sums_.total += took;
+    sums_.longest = std::max(sums_.longest, took);
+    sums_.mostReady = std::max(sums_.mostReady, ready);
+    if (now < sumsDue_) {
+        return;
+    }
+    sumsDue_ = now + loadInterval;
+    const RoundSums sums = std::exchange(sums_, {});
+    const RunSupervisor::Load load = supervisor_->load(now);
+    const GraphBook &graphs = parts_.journal.state().graphs();
+    logInfo("dispatch.load",
+        {{"rounds", sums.rounds}, {"rounds_us", static_cast<std::uint64_t>(sums.total.count())},
+            {"longest_us", static_cast<std::uint64_t>(sums.longest.count())},
+            {"ready_steps", std::uint64_t {sums.mostReady}},
+            {"open_jobs", std::uint64_t {graphs.open().size()}},
+            {"waiting_jobs", std::uint64_t {graphs.waiting().size()}},
+            {"runs", std::uint64_t {load.runs}}, {"starting", std::uint64_t {load.starting}},
+            {"workers", std::uint64_t {load.workers}},
+            {"workers_open", std::uint64_t {load.workersOpen}},
+            {"ends_unrecorded", std::uint64_t {load.endsUnrecorded}},
+            {"term", parts_.term.value()}});
 }
 
 std::vector<ReadyStep> Dispatcher::readySteps(WallTime wall)
--- a/src/services/dispatcher.h
+++ b/src/services/dispatcher.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "src/net/asio.h"
+#include "src/net/metrics.h"
 #include "src/services/runsupervisor.h"
 #include "src/services/ticketagents.h"
 
@@ -30,6 +31,7 @@
         Peers &peers;
         WorkerLink &link;
         TicketOffice &tickets;
+        Metrics &metrics;
         NodeAddress self;
         Term term;
         RunSupervisor::Propose propose;
@@ -72,6 +74,16 @@
     void record(MonotonicTime now);
     void recorded(const std::vector<RunPlacement> &placements, bool known);
     void forgetTickets();
+    void noteRound(MonotonicTime began, std::size_t ready);
+
+    /// Rounds since the last record of them.
+    struct RoundSums
+    {
+        std::uint64_t rounds = 0;
+        Microseconds total {0};
+        Microseconds longest {0};
+        std::size_t mostReady = 0; // steps that waited for workers
+    };
 
     Parts parts_;
     std::shared_ptr<RunSupervisor> supervisor_;
@@ -85,6 +97,8 @@
     // Tickets of placements that are not started yet.
     std::map<TaskRef, Ticket> ticketsOf_;
     MonotonicTime forgetDue_ {};
+    RoundSums sums_;
+    MonotonicTime sumsDue_ {};
 };
 
 } // namespace crocusmill
--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -27,9 +27,11 @@
 class LeaderService final : public Service, public Leader
 {
 public:
-    LeaderService(asio::io_context &control, const Settings &settings, bool callsWorkers)
+    LeaderService(
+        asio::io_context &control, const Settings &settings, Metrics &metrics, bool callsWorkers)
         : control_(control)
         , settings_(settings)
+        , metrics_(metrics)
         , callsWorkers_(callsWorkers)
         , sweepTimer_(control)
         , dispatchTimer_(control)
@@ -58,7 +60,7 @@
         Peers *peers = kernel.find<Peers>(names::peers);
         dispatch_ = std::make_unique<DispatchDesk>(control_, *journal_, *peers,
             kernel.find<WorkerLink>(names::workerLink),
-            kernel.find<TicketOffice>(names::ticketOffice), settings_.peers.advertise);
+            kernel.find<TicketOffice>(names::ticketOffice), settings_.peers.advertise, metrics_);
         peers->onCall([this](const Call &call, const ReplyHandler &done) { handle(call, done); });
         scheduleSweep();
         if (callsWorkers_) {
@@ -371,6 +373,7 @@
 
     asio::io_context &control_;
     Settings settings_;
+    Metrics &metrics_;
     bool callsWorkers_;
     Journal *journal_ = nullptr;
     std::unique_ptr<Leadership> lead_; // null while this VM does not lead
@@ -385,9 +388,9 @@
 } // namespace
 
 std::unique_ptr<Service> makeLeaderService(
-    asio::io_context &control, const Settings &settings, bool callsWorkers)
+    asio::io_context &control, const Settings &settings, Metrics &metrics, bool callsWorkers)
 {
-    return std::make_unique<LeaderService>(control, settings, callsWorkers);
+    return std::make_unique<LeaderService>(control, settings, metrics, callsWorkers);
 }
 
 } // namespace crocusmill
--- a/src/services/leaderservice.h
+++ b/src/services/leaderservice.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "src/net/asio.h"
+#include "src/net/metrics.h"
 #include "src/services/interfaces.h"
 
 #include <crocusmill/settings.h>
@@ -13,7 +14,7 @@
 {
 
 /// `callsWorkers`: there is a WorkerLink and a TicketOffice.
-[[nodiscard]] std::unique_ptr<Service> makeLeaderService(
-    asio::io_context &control, const Settings &settings, bool callsWorkers = false);
+[[nodiscard]] std::unique_ptr<Service> makeLeaderService(asio::io_context &control,
+    const Settings &settings, Metrics &metrics, bool callsWorkers = false);
 
 } // namespace crocusmill
--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -125,7 +125,7 @@
             setStage(run, Stage::Stopping); // the earlier leader's order may still arrive
         }
     }
-    endRuns(absent);
+    endRuns(absent, OverBy::NotListed);
     if (ended.empty()) {
         hold(id, worker, monotonicNow());
     } else {
@@ -255,6 +255,7 @@
 
 void RunSupervisor::endsRecorded(const EndList &list)
 {
+    logIgnored(list);
     for (const EndedRun &end : list.ended) {
         const Run *run = findRun(end.task, end.run);
         if (run != nullptr && run->placement.worker == list.worker) {
--- /dev/null
+++ b/src/services/runlogs.cpp
@@ -0,0 +1,120 @@
+/// What the log says of runs that are over: by which rule, on what evidence and how old it was.
+
+#include "src/net/clock.h"
+#include "src/net/log.h"
+#include "src/services/runsupervisor.h"
+
+namespace crocusmill
+{
+
+namespace
+{
+
+std::string_view nameOf(RunEnd end)
+{
+    switch (end) {
+    case RunEnd::Succeeded:
+        return "succeeded";
+    case RunEnd::Failed:
+        return "failed";
+    case RunEnd::Stopped:
+        return "stopped";
+    case RunEnd::Lost:
+        return "lost";
+    case RunEnd::NotStarted:
+        return "not_started";
+    }
+    return "unknown";
+}
+
+std::string_view nameOf(TaskPhase phase)
+{
+    switch (phase) {
+    case TaskPhase::Waiting:
+        return "waiting";
+    case TaskPhase::Placed:
+        return "placed";
+    case TaskPhase::Succeeded:
+        return "succeeded";
+    case TaskPhase::GivenUp:
+        return "given_up";
+    }
+    return "unknown";
+}
+
+/// Zero for a moment that never came or is still to come.
+std::uint64_t ageOf(MonotonicTime since, MonotonicTime now)
+{
+    const bool past = since != MonotonicTime {} && since <= now;
+    return past
+        ? static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now - since).count())
+        : 0;
+}
+
+} // namespace
+
+std::string_view RunSupervisor::text(OverBy rule)
+{
+    switch (rule) {
+    case OverBy::NotListed:
+        return "not_listed";
+    case OverBy::LeasePassed:
+        return "lease_passed";
+    case OverBy::WorkerLeft:
+        return "worker_left";
+    case OverBy::IncarnationGone:
+        return "incarnation_gone";
+    case OverBy::StartRefused:
+        return "start_refused";
+    case OverBy::WorkerReplaced:
+        return "worker_replaced";
+    }
+    return "unknown";
+}
+
+void RunSupervisor::logOver(const Run &run, const EndedRun &end, OverBy rule) const
+{
+    const MonotonicTime now = monotonicNow();
+    const Worker &worker = workers_.at(run.placement.worker);
+    logInfo("run.over",
+        {{"task", asText(end.task)}, {"run", std::uint64_t {end.run.value()}},
+            {"worker", run.placement.worker.value()},
+            {"incarnation", run.placement.incarnation.value()}, {"as", nameOf(end.end)},
+            {"by", text(rule)}, {"orders", std::uint64_t {run.orders}},
+            {"settled_ms", run.settledAt ? ageOf(*run.settledAt, now) : 0},
+            {"answered_ms", ageOf(worker.answered, now)},
+            {"lease_over_ms", ageOf(worker.leaseOver, now)},
+            {"unanswered", std::uint64_t {worker.unanswered}}, {"fence", parts_.fence.value()}});
+}
+
+/// A success that the journal has no use for means that its task was given up too soon.
+void RunSupervisor::logIgnored(const EndList &list) const
+{
+    for (const EndedRun &end : list.ended) {
+        const Graph *graph = parts_.state.graphs().find(end.task.graph);
+        const GraphTask *task = graph == nullptr ? nullptr : graph->find(end.task);
+        if (end.end != RunEnd::Succeeded || task == nullptr || task->run == end.run) {
+            continue;
+        }
+        logWarning("run.end_ignored",
+            {{"task", asText(end.task)}, {"run", std::uint64_t {end.run.value()}},
+                {"worker", list.worker.value()}, {"current_run", std::uint64_t {task->run.value()}},
+                {"current_worker", task->worker.value()}, {"phase", nameOf(task->phase)},
+                {"fence", parts_.fence.value()}});
+    }
+}
+
+RunSupervisor::Load RunSupervisor::load(MonotonicTime now) const
+{
+    Load load;
+    load.runs = runs_.size();
+    load.starting = ordersDue_.size();
+    load.workers = workers_.size();
+    load.endsUnrecorded = listedEnds_.size();
+    for (const std::pair<const WorkerId, Worker> &known : workers_) {
+        load.workersOpen += isOpen(known.second, now) ? 1 : 0;
+    }
+    return load;
+}
+
+} // namespace crocusmill
--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -88,7 +88,7 @@
             {{"task", asText(task)}, {"worker", id.value()},
                 {"orders", std::uint64_t {run->orders}}});
         if (run->orders == 1) {
-            endRuns({overAs(*run, RunEnd::NotStarted)});
+            endRuns({overAs(*run, RunEnd::NotStarted)}, OverBy::StartRefused);
             return;
         }
         break; // an earlier order may still be carried out
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -16,23 +16,6 @@
 /// A start that stays unanswered this often is settled by a stop.
 constexpr std::uint32_t mostStarts = 6;
 
-std::string_view text(RunEnd end)
-{
-    switch (end) {
-    case RunEnd::Succeeded:
-        return "succeeded";
-    case RunEnd::Failed:
-        return "failed";
-    case RunEnd::Stopped:
-        return "stopped";
-    case RunEnd::Lost:
-        return "lost";
-    case RunEnd::NotStarted:
-        return "not_started";
-    }
-    return "unknown";
-}
-
 } // namespace
 
 RunSupervisor::RunSupervisor(Parts parts, MonotonicTime now)
@@ -114,7 +97,7 @@
     found->second.ticket = ticket;
     const Worker &worker = workerOf(found->second.placement.worker);
     if (worker.known && worker.heartbeat.incarnation != found->second.placement.incarnation) {
-        endRuns({overAs(found->second, RunEnd::NotStarted)}); // it went away meanwhile
+        endRuns({overAs(found->second, RunEnd::NotStarted)}, OverBy::WorkerReplaced);
         return;
     }
     sendStart(task, found->second, now);
@@ -146,7 +129,7 @@
 }
 
 /// Records ends that no list stated.
-void RunSupervisor::endRuns(const std::vector<EndedRun> &ended)
+void RunSupervisor::endRuns(const std::vector<EndedRun> &ended, OverBy rule)
 {
     if (retired_) {
         return;
@@ -157,9 +140,7 @@
         if (run != nullptr && !run->ending) {
             run->ending = true;
             fresh.push_back(end);
-            logInfo("run.over",
-                {{"task", asText(end.task)}, {"run", std::uint64_t {end.run.value()}},
-                    {"worker", run->placement.worker.value()}, {"as", text(end.end)}});
+            logOver(*run, end, rule);
         }
     }
     if (fresh.empty()) {
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -86,6 +86,16 @@
     /// The placement was recorded: the run is started.
     void start(const TaskRef &task, const std::optional<Ticket> &ticket, MonotonicTime now);
 
+    struct Load
+    {
+        std::size_t runs = 0;
+        std::size_t starting = 0; // or stopping: they wait for an order's outcome
+        std::size_t workers = 0;
+        std::size_t workersOpen = 0;
+        std::size_t endsUnrecorded = 0; // lists that wait for their record
+    };
+    [[nodiscard]] Load load(MonotonicTime now) const;
+
     [[nodiscard]] const Fleet &fleet() const;
     /// A run of the task counts on some worker.
     [[nodiscard]] bool hasRun(const TaskRef &task) const;
@@ -186,7 +196,19 @@
     void stopAnswered(const TaskRef &task, RunNumber number, StopOutcome outcome);
     void stopUnknown(const WorkerId &id, const Worker &worker, const ListedRun &listed);
 
-    void endRuns(const std::vector<EndedRun> &ended);
+    /// By which rule a run that no list showed as ended counts as over.
+    enum class OverBy {
+        NotListed, // a list that was asked for later lacks it
+        LeasePassed,
+        WorkerLeft,
+        IncarnationGone, // another process answers at its address
+        StartRefused,
+        WorkerReplaced, // before the start was ordered
+    };
+    [[nodiscard]] static std::string_view text(OverBy rule);
+    void endRuns(const std::vector<EndedRun> &ended, OverBy rule);
+    void logOver(const Run &run, const EndedRun &end, OverBy rule) const;
+    void logIgnored(const EndList &list) const;
     [[nodiscard]] EndedRun overAs(const Run &run, RunEnd end) const;
     void release(const EndedRun &ended);
     [[nodiscard]] Run *findRun(const TaskRef &task, RunNumber number);
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -133,7 +133,7 @@
         found->second.leavesAt = now_;
         updateFleet(found->second, now_);
     }
-    endRuns(lost);
+    endRuns(lost, OverBy::IncarnationGone);
 }
 
 void RunSupervisor::left(const WorkerId &worker, const Incarnation &incarnation, MonotonicTime now)
@@ -205,7 +205,7 @@
                 lost.push_back(overAs(run, RunEnd::Lost));
             }
         }
-        endRuns(lost);
+        endRuns(lost, departed ? OverBy::WorkerLeft : OverBy::LeasePassed);
     }
     const bool forgotten = worker.known && worker.runs.empty() && !worker.holding
         && (departed || now - worker.heard > silentWorkerKept);
--- a/test/clientservice.cpp
+++ b/test/clientservice.cpp
@@ -101,7 +101,7 @@
         peers_ = peers.get();
         kernel_.add(std::move(peers));
         kernel_.add(std::move(journal));
-        kernel_.add(makeLeaderService(control_, settings_, false));
+        kernel_.add(makeLeaderService(control_, settings_, metrics_, false));
         kernel_.add(makeClientService(control_, settings_));
         REQUIRE(kernel_.start().has_value());
         client_ = kernel_.find<LeaderClient>(names::client);
@@ -127,6 +127,7 @@
 
     asio::io_context control_;
     Settings settings_;
+    Metrics metrics_;
     Kernel kernel_;
     ScriptedPeers *peers_ = nullptr;
     LeaderClient *client_ = nullptr;
--- a/test/fakes/callingleader.h
+++ b/test/fakes/callingleader.h
@@ -59,7 +59,7 @@
         kernel.add(std::unique_ptr<Service> {&peers});
         kernel.add(std::unique_ptr<Service> {&link});
         kernel.add(std::unique_ptr<Service> {&office});
-        kernel.add(makeLeaderService(control, settings, true));
+        kernel.add(makeLeaderService(control, settings, metrics, true));
         started = kernel.start().has_value();
     }
 
@@ -102,6 +102,7 @@
 
     asio::io_context control;
     Settings settings;
+    Metrics metrics;
     // Owned by the kernel.
     FakeJournal &journal = *new FakeJournal(settings.times);
     FakePeers &peers = *new FakePeers;
--- a/test/leaderservice.cpp
+++ b/test/leaderservice.cpp
@@ -37,6 +37,7 @@
 {
     asio::io_context control;
     Settings settings;
+    Metrics metrics;
     settings.state = StateSettings {};
     settings.times.slots.grantLife = Milliseconds {400};
     settings.times.slots.driftMargin = Milliseconds {10};
@@ -47,7 +48,7 @@
     FakePeers &peers = *ownPeers;
     kernel.add(std::move(ownJournal));
     kernel.add(std::move(ownPeers));
-    kernel.add(makeLeaderService(control, settings));
+    kernel.add(makeLeaderService(control, settings, metrics));
     REQUIRE(kernel.start().has_value());
 
     const AdmitWork orphan = admission("orphan", Milliseconds {-2'500});
