Benchmark of rounds: a full fleet, a backlog of up to 10,000 steps, with tickets and without

bench/dispatchrounds only knew rounds in which nothing waits. It now makes a site whose fleet is full, at 350 and 6,300 workers with 0, 1,000 and 10,000 steps that wait, and times rounds with nothing new and rounds after one end and one arrival, in processor time of the thread.

--- a/bench/dispatchrounds.cpp
+++ b/bench/dispatchrounds.cpp
@@ -1,12 +1,15 @@
-/// Cost of the leader's work for workers that are called: a quiet round, and steps placed by
-/// ticket.
+/// Cost of the leader's rounds for workers that are called: quiet ones, and those that have room to
+/// give away while many steps wait.
 
+#include "bench/dispatchsite.h"
+#include "src/net/clock.h"
 #include "src/services/runsupervisor.h"
 #include "test/fakes/graphs.h"
 #include "test/fakes/workerlink.h"
 
 #include <benchmark/benchmark.h>
 
+#include <ctime>
 #include <string>
 
 namespace crocusmill
@@ -93,6 +96,78 @@
 }
 BENCHMARK(sweepRound)->Arg(48)->Arg(350)->Arg(6'300);
 
+SiteSize sizeOf(const benchmark::State &state)
+{
+    return {static_cast<std::uint32_t>(state.range(0)), static_cast<std::uint32_t>(state.range(1)),
+        state.range(2) != 0};
+}
+
+/// Of this thread; time that others have the processor does not count.
+double processorSeconds()
+{
+    constexpr double nanosecond = 1e-9;
+    timespec now {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+    return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) * nanosecond;
+}
+
+/// Times rounds alone; in between workers answer, and the office.
+template <typename Between>
+void timeRounds(benchmark::State &state, DispatchSite &site, Between between)
+{
+    constexpr Milliseconds holdPause {400};
+    MonotonicTime holdsDue = monotonicNow();
+    for (const auto _ : state) {
+        if (monotonicNow() >= holdsDue) {
+            site.workers.answerHolds();
+            holdsDue = monotonicNow() + holdPause;
+        }
+        between();
+        const double began = processorSeconds();
+        site.round();
+        state.SetIterationTime(processorSeconds() - began);
+    }
+}
+
+/// Nothing came and nothing ended; no worker has room.
+void fullRound(benchmark::State &state)
+{
+    DispatchSite site {sizeOf(state)};
+    timeRounds(state, site, []() {});
+}
+
+/// A task has ended, and its room is given to another one; a job came.
+void placingRound(benchmark::State &state)
+{
+    DispatchSite site {sizeOf(state)};
+    std::uint64_t rounds = 0;
+    const std::uint64_t before = site.workers.started;
+    timeRounds(state, site, [&site, &rounds]() {
+        site.workers.endOldest();
+        if (rounds++ % 9 != 0) { // as many tasks as end
+            site.submit();
+        }
+    });
+    state.counters["started"] = benchmark::Counter(
+        static_cast<double>(site.workers.started - before), benchmark::Counter::kAvgIterations);
+}
+
+void siteSizes(benchmark::internal::Benchmark *benchmark)
+{
+    for (const std::int64_t tickets : {0, 1}) {
+        for (const std::int64_t workers : {350, 6'300}) {
+            for (const std::int64_t backlog : {0, 1'000, 10'000}) {
+                benchmark->Args({workers, backlog, tickets});
+            }
+        }
+    }
+    benchmark->ArgNames({"workers", "backlog", "tickets"})
+        ->UseManualTime()
+        ->Unit(benchmark::kMicrosecond);
+}
+BENCHMARK(fullRound)->Apply(siteSizes);
+BENCHMARK(placingRound)->Apply(siteSizes);
+
 } // namespace
 
 } // namespace crocusmill
