Fleet: workers kept in the order of free cores; a step asks ahead once

With 350 workers each choice looked at every worker, sorted those that fit and copied their names; each step that comes after one that runs did so in every round, only to learn that it had been asked for already; and each step placed summed all workers twice for its log record.

The fleet keeps each service's open workers ordered by free cores, with running sums. choose() begins at the first worker that has the cores and stops with enough; suited workers are visited only as far as they are used. Whether a step was asked for ahead is one look-up. Choices are the same (equals go by worker id now), which a naive fleet in the test checks.

--- a/include/crocusmill/fleet.h
+++ b/include/crocusmill/fleet.h
@@ -7,8 +7,11 @@
 
 #include <crocusmill/taskgraph.h>
 
+#include <cstddef>
+#include <functional>
 #include <map>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace crocusmill
@@ -23,6 +26,8 @@
     RackId rack;
     std::vector<WorkerLabel> labels;
     bool open = false; // takes new tasks
+
+    bool operator==(const FleetWorker &) const = default;
 };
 
 /// A step, or what is left of it, that asks for workers.
@@ -45,6 +50,10 @@
 class Fleet
 {
 public:
+    Fleet() = default;
+    Fleet(const Fleet &) = delete; // workers point to their service
+    Fleet &operator=(const Fleet &) = delete;
+
     void setWorker(const FleetWorker &worker);
     void setOpen(const WorkerId &worker, bool open);
     void remove(const WorkerId &worker);
@@ -55,26 +64,47 @@
     void release(const WorkerId &worker, const TaskRef &task, const StepSpec &spec);
 
     /// Workers for as many of the waiting tasks as have room; all tasks of a gang or none. Nothing
-    /// is taken yet.
+    /// is taken yet. Costs what is chosen, and workers with cores left that do not fit otherwise.
     [[nodiscard]] std::vector<FleetChoice> choose(const StepDemand &demand) const;
     /// The same among these workers alone.
     [[nodiscard]] std::vector<FleetChoice> chooseAmong(
         const StepDemand &demand, const std::vector<WorkerId> &workers) const;
     /// Open workers that could run tasks of the step if they were idle, those with most room first.
     [[nodiscard]] std::vector<WorkerId> suited(const StepDemand &demand) const;
+    /// The same one by one, until `visit` returns false.
+    void visitSuited(
+        const StepDemand &demand, const std::function<bool(const FleetWorker &)> &visit) const;
 
-    /// Cores that open workers of a service have, and those of them in use.
+    /// Cores that open workers of a service have, and those of its workers in use.
     [[nodiscard]] std::uint64_t openMilliCores(const ServiceName &service) const;
     [[nodiscard]] std::uint64_t usedMilliCores(const ServiceName &service) const;
 
 private:
+    struct Held;
+    struct MoreUsed
+    {
+        using is_transparent = void;
+        bool operator()(const Held *left, const Held *right) const;
+        bool operator()(const Held *held, std::int64_t freeMilliCores) const;
+        bool operator()(std::int64_t freeMilliCores, const Held *held) const;
+    };
+    struct Service
+    {
+        // Invariant: its open workers, the one with fewest free cores first.
+        std::set<const Held *, MoreUsed> open;
+        // Invariant: sums over the capacity of those, and over what is taken on any worker.
+        std::uint64_t openMilliCores = 0;
+        std::uint64_t usedMilliCores = 0;
+    };
     struct Held
     {
         FleetWorker worker;
+        Service *service = nullptr;
         // Invariant: the sum over the tasks taken on the worker; within its capacity while every
         // task was placed by choose().
         TaskSize used;
-        std::map<TaskRef, std::uint32_t> perStep; // tasks by step, for limits per worker
+        std::size_t tasks = 0;
+        std::map<TaskRef, std::uint32_t> perStep; // tasks by step, where a limit per worker counts
     };
     struct Candidate
     {
@@ -83,6 +113,11 @@
         bool preferred = false; // its rack has the step's data
     };
 
+    Held &heldOf(const WorkerId &worker);
+    // A worker is taken out of its service while it changes.
+    static void withdraw(Held &held);
+    void enter(Held &held);
+    [[nodiscard]] const Service *find(const ServiceName &service) const;
     static void consider(
         const Held &held, const StepDemand &demand, std::vector<Candidate> &candidates);
     [[nodiscard]] static std::vector<FleetChoice> chooseFrom(
@@ -91,7 +126,8 @@
         const StepDemand &demand, const std::vector<Candidate> &candidates);
     [[nodiscard]] static bool suits(const FleetWorker &worker, const StepDemand &demand);
 
-    std::map<WorkerId, Held> workers_;
+    std::unordered_map<WorkerId, Held> workers_;
+    std::map<ServiceName, Service> services_;
 };
 
 } // namespace crocusmill
--- a/include/crocusmill/ticketbook.h
+++ b/include/crocusmill/ticketbook.h
@@ -39,6 +39,8 @@
 
     /// A question about the step has no answer yet.
     [[nodiscard]] bool isAsking(const TaskRef &step) const;
+    /// The step was asked for, about any worker.
+    [[nodiscard]] bool wasAsked(const TaskRef &step) const;
     [[nodiscard]] bool wasAsked(const TaskRef &step, const WorkerId &worker) const;
     [[nodiscard]] bool isAllowed(const TaskRef &step, const WorkerId &worker) const;
     /// Workers that may run the step.
--- a/src/cell/fleet.cpp
+++ b/src/cell/fleet.cpp
@@ -50,16 +50,75 @@
 
 } // namespace
 
+bool Fleet::MoreUsed::operator()(const Held *left, const Held *right) const
+{
+    const std::int64_t leftFree = freeMilliCores(left->worker.capacity, left->used);
+    const std::int64_t rightFree = freeMilliCores(right->worker.capacity, right->used);
+    return leftFree != rightFree ? leftFree < rightFree : left->worker.id < right->worker.id;
+}
+
+bool Fleet::MoreUsed::operator()(const Held *held, std::int64_t free) const
+{
+    return freeMilliCores(held->worker.capacity, held->used) < free;
+}
+
+bool Fleet::MoreUsed::operator()(std::int64_t free, const Held *held) const
+{
+    return free < freeMilliCores(held->worker.capacity, held->used);
+}
+
+Fleet::Held &Fleet::heldOf(const WorkerId &worker)
+{
+    const auto [place, isNew] = workers_.try_emplace(worker);
+    if (isNew) {
+        place->second.worker.id = worker;
+        enter(place->second);
+    }
+    return place->second;
+}
+
+void Fleet::withdraw(Held &held)
+{
+    if (held.worker.open) {
+        held.service->open.erase(&held);
+        held.service->openMilliCores -= held.worker.capacity.milliCores;
+    }
+    held.service->usedMilliCores -= held.used.milliCores;
+}
+
+void Fleet::enter(Held &held)
+{
+    held.service = &services_[held.worker.service];
+    if (held.worker.open) {
+        held.service->open.insert(&held);
+        held.service->openMilliCores += held.worker.capacity.milliCores;
+    }
+    held.service->usedMilliCores += held.used.milliCores;
+}
+
+const Fleet::Service *Fleet::find(const ServiceName &service) const
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? nullptr : &found->second;
+}
+
 void Fleet::setWorker(const FleetWorker &worker)
 {
-    workers_[worker.id].worker = worker;
+    Held &held = heldOf(worker.id);
+    if (held.worker != worker) {
+        withdraw(held);
+        held.worker = worker;
+        enter(held);
+    }
 }
 
 void Fleet::setOpen(const WorkerId &worker, bool open)
 {
     const auto found = workers_.find(worker);
-    if (found != workers_.end()) {
+    if (found != workers_.end() && found->second.worker.open != open) {
+        withdraw(found->second);
         found->second.worker.open = open;
+        enter(found->second);
     }
 }
 
@@ -69,8 +128,9 @@
     if (found == workers_.end()) {
         return;
     }
-    found->second.worker.open = false;
-    if (found->second.perStep.empty()) {
+    setOpen(worker, false);
+    if (found->second.tasks == 0) {
+        withdraw(found->second);
         workers_.erase(found);
     }
 }
@@ -83,24 +143,31 @@
 
 void Fleet::take(const WorkerId &worker, const TaskRef &task, const StepSpec &spec)
 {
-    Held &held = workers_[worker];
-    held.worker.id = worker;
+    Held &held = heldOf(worker);
     const TaskSize size = countedSize(spec);
+    withdraw(held);
     held.used.milliCores += size.milliCores;
     held.used.memory = ByteCount {held.used.memory.value() + size.memory.value()};
     held.used.accelerators += size.accelerators;
-    ++held.perStep[stepOf(task)];
+    enter(held);
+    ++held.tasks;
+    if (spec.mostPerWorker > 0) {
+        ++held.perStep[stepOf(task)];
+    }
 }
 
 void Fleet::release(const WorkerId &worker, const TaskRef &task, const StepSpec &spec)
 {
-    Held &held = workers_[worker];
+    Held &held = heldOf(worker);
     const TaskSize size = countedSize(spec);
+    withdraw(held);
     held.used.milliCores -= size.milliCores;
     held.used.memory = ByteCount {held.used.memory.value() - size.memory.value()};
     held.used.accelerators -= size.accelerators;
+    enter(held);
+    --held.tasks;
     const auto count = held.perStep.find(stepOf(task));
-    if (--count->second == 0) {
+    if (count != held.perStep.end() && --count->second == 0) {
         held.perStep.erase(count);
     }
 }
@@ -152,8 +219,19 @@
 std::vector<FleetChoice> Fleet::choose(const StepDemand &demand) const
 {
     std::vector<Candidate> candidates;
-    for (const std::pair<const WorkerId, Held> &known : workers_) {
-        consider(known.second, demand, candidates);
+    const Service *service = find(demand.service);
+    if (service == nullptr) {
+        return {};
+    }
+    const std::int64_t least = countedSize(*demand.spec).milliCores;
+    // Elsewhere the first ones in the order of free cores are those that are chosen.
+    const bool needsAll = demand.spec->oneRack || !demand.spec->dataRack.value().empty();
+    std::uint64_t tasks = 0;
+    for (auto held = least == 0 ? service->open.begin() : service->open.lower_bound(least);
+         held != service->open.end() && (needsAll || tasks < demand.waiting.size()); ++held) {
+        const std::size_t before = candidates.size();
+        consider(**held, demand, candidates);
+        tasks += candidates.size() > before ? candidates.back().tasks : 0;
     }
     return chooseFrom(demand, std::move(candidates));
 }
@@ -176,11 +254,8 @@
 {
     std::sort(
         candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
-            if (left.preferred != right.preferred) {
-                return left.preferred;
-            }
-            return freeMilliCores(left.held->worker.capacity, left.held->used)
-                < freeMilliCores(right.held->worker.capacity, right.held->used);
+            return left.preferred != right.preferred ? left.preferred
+                                                     : MoreUsed {}(left.held, right.held);
         });
     if (demand.spec->oneRack) {
         std::set<RackId> racks;
@@ -201,43 +276,41 @@
     return fill(demand, candidates);
 }
 
-std::vector<WorkerId> Fleet::suited(const StepDemand &demand) const
+void Fleet::visitSuited(
+    const StepDemand &demand, const std::function<bool(const FleetWorker &)> &visit) const
 {
-    std::vector<const Held *> found;
-    for (const std::pair<const WorkerId, Held> &known : workers_) {
-        if (suits(known.second.worker, demand)) {
-            found.push_back(&known.second);
+    const Service *service = find(demand.service);
+    if (service == nullptr) {
+        return;
+    }
+    for (auto held = service->open.rbegin(); held != service->open.rend(); ++held) {
+        const FleetWorker &worker = (*held)->worker;
+        if (suits(worker, demand) && !visit(worker)) {
+            return;
         }
     }
-    std::sort(found.begin(), found.end(), [](const Held *left, const Held *right) {
-        return freeMilliCores(left->worker.capacity, left->used)
-            > freeMilliCores(right->worker.capacity, right->used);
-    });
+}
+
+std::vector<WorkerId> Fleet::suited(const StepDemand &demand) const
+{
     std::vector<WorkerId> ids;
-    ids.reserve(found.size());
-    for (const Held *held : found) {
-        ids.push_back(held->worker.id);
-    }
+    visitSuited(demand, [&ids](const FleetWorker &worker) {
+        ids.push_back(worker.id);
+        return true;
+    });
     return ids;
 }
 
 std::uint64_t Fleet::openMilliCores(const ServiceName &service) const
 {
-    std::uint64_t sum = 0;
-    for (const std::pair<const WorkerId, Held> &known : workers_) {
-        const FleetWorker &worker = known.second.worker;
-        sum += worker.open && worker.service == service ? worker.capacity.milliCores : 0;
-    }
-    return sum;
+    const Service *known = find(service);
+    return known == nullptr ? 0 : known->openMilliCores;
 }
 
 std::uint64_t Fleet::usedMilliCores(const ServiceName &service) const
 {
-    std::uint64_t sum = 0;
-    for (const std::pair<const WorkerId, Held> &known : workers_) {
-        sum += known.second.worker.service == service ? known.second.used.milliCores : 0;
-    }
-    return sum;
+    const Service *known = find(service);
+    return known == nullptr ? 0 : known->usedMilliCores;
 }
 
 } // namespace crocusmill
--- a/src/cell/ticketbook.cpp
+++ b/src/cell/ticketbook.cpp
@@ -86,6 +86,12 @@
     return entry == found->second.workers.end() ? nullptr : &entry->second;
 }
 
+bool TicketBook::wasAsked(const TaskRef &step) const
+{
+    const auto found = steps_.find(step);
+    return found != steps_.end() && !found->second.workers.empty();
+}
+
 bool TicketBook::wasAsked(const TaskRef &step, const WorkerId &worker) const
 {
     return find(step, worker) != nullptr;
--- a/src/services/dispatchtickets.cpp
+++ b/src/services/dispatchtickets.cpp
@@ -33,7 +33,6 @@
     const StepDemand &demand, const Graph &graph, const TicketTerms &terms, MonotonicTime now)
 {
     const TaskRef &step = demand.step;
-    const Fleet &fleet = supervisor_->fleet();
     const std::vector<FleetChoice> chosen =
         choose(demand, graph, book_.withTicket(step, now + ticketMargin));
     take(demand, graph, chosen, now);
@@ -51,13 +50,15 @@
     }
     if (!workers.empty()) {
         std::size_t spare = 0;
-        for (const WorkerId &worker : fleet.suited(rest)) {
-            const bool other = std::find(workers.begin(), workers.end(), worker) == workers.end();
-            if (spare < renewalSpare && other && book_.isAllowed(step, worker)) {
-                workers.push_back(worker);
+        supervisor_->fleet().visitSuited(rest, [&](const FleetWorker &worker) {
+            const bool other =
+                std::find(workers.begin(), workers.end(), worker.id) == workers.end();
+            if (other && book_.isAllowed(step, worker.id)) {
+                workers.push_back(worker.id);
                 ++spare;
             }
-        }
+            return spare < renewalSpare;
+        });
         ask(rest, terms, workers, now);
         return;
     }
@@ -70,19 +71,18 @@
     std::vector<WorkerId> workers;
     double room = 0;
     const double wanted = static_cast<double>(demand.spec->tasks) / allowedShare;
-    for (const WorkerId &id : supervisor_->fleet().suited(demand)) {
+    supervisor_->fleet().visitSuited(demand, [&](const FleetWorker &worker) {
         if (workers.size() >= most || (workers.size() >= leastAsked && room >= wanted)) {
-            break;
+            return false;
         }
-        if (book_.wasAsked(demand.step, id)) {
-            continue;
+        if (!book_.wasAsked(demand.step, worker.id)) {
+            const std::uint32_t size = std::max(demand.spec->size.milliCores, 1U);
+            // About half of a worker is in use.
+            room += static_cast<double>(worker.capacity.milliCores) / size / 2;
+            workers.push_back(worker.id);
         }
-        const FleetWorker &worker = *supervisor_->fleet().find(id);
-        const std::uint32_t size = std::max(demand.spec->size.milliCores, 1U);
-        // About half of a worker is in use.
-        room += static_cast<double>(worker.capacity.milliCores) / size / 2;
-        workers.push_back(id);
-    }
+        return true;
+    });
     return workers;
 }
 
@@ -132,6 +132,10 @@
 void Dispatcher::askAhead(
     const Graph &graph, std::uint32_t occurrence, std::uint32_t step, MonotonicTime now)
 {
+    const TaskRef ref {graph.spec.id, occurrence, step, 0};
+    if (book_.wasAsked(ref)) {
+        return;
+    }
     const std::vector<GraphStep> &steps = graph.occurrences[occurrence].steps;
     for (const std::uint32_t earlier : graph.spec.steps[step].after) {
         for (const GraphTask &task : steps[earlier].tasks) {
@@ -144,13 +148,8 @@
     if (queue == nullptr || !queue->tickets || !agents_.mayAsk(*queue->tickets, leastAsked, now)) {
         return;
     }
-    const StepDemand demand = demandOf(graph, {graph.spec.id, occurrence, step, 0});
-    const std::vector<WorkerId> suited = supervisor_->fleet().suited(demand);
-    const bool asked = std::any_of(suited.begin(), suited.end(),
-        [&](const WorkerId &worker) { return book_.wasAsked(demand.step, worker); });
-    if (!asked && !book_.isAsking(demand.step)) {
-        ask(demand, *queue->tickets, unasked(demand, mostAsked), now);
-    }
+    const StepDemand demand = demandOf(graph, ref);
+    ask(demand, *queue->tickets, unasked(demand, mostAsked), now);
 }
 
 void Dispatcher::forgetTickets()
--- a/test/fleet.cpp
+++ b/test/fleet.cpp
@@ -49,6 +49,141 @@
     }
 }
 
+/// What the fleet must answer, found by looking at every worker each time.
+struct NaiveFleet
+{
+    struct Held
+    {
+        FleetWorker worker;
+        std::int64_t milliCores = 0; // taken
+        std::int64_t memory = 0;
+        std::map<TaskRef, std::uint32_t> perStep;
+
+        [[nodiscard]] std::int64_t free() const
+        {
+            return worker.capacity.milliCores - milliCores;
+        }
+    };
+
+    [[nodiscard]] static bool mayRun(const Held &held, const StepDemand &demand)
+    {
+        const std::vector<WorkerLabel> &labels = held.worker.labels;
+        const StepSpec &spec = *demand.spec;
+        return held.worker.open && held.worker.service == demand.service
+            && (spec.label.value().empty()
+                || std::find(labels.begin(), labels.end(), spec.label) != labels.end())
+            && spec.size.milliCores <= held.worker.capacity.milliCores
+            && spec.size.memory <= held.worker.capacity.memory;
+    }
+
+    [[nodiscard]] static std::int64_t roomOf(const Held &held, const StepDemand &demand)
+    {
+        const StepSpec &spec = *demand.spec;
+        if (!mayRun(held, demand) || demand.avoided.contains(held.worker.id)) {
+            return 0;
+        }
+        std::int64_t tasks = std::max<std::int64_t>(held.free(), 0) / spec.size.milliCores;
+        const std::int64_t memory =
+            static_cast<std::int64_t>(held.worker.capacity.memory.value()) - held.memory;
+        if (spec.size.memory.value() > 0) {
+            tasks = std::min(tasks, memory / static_cast<std::int64_t>(spec.size.memory.value()));
+        }
+        if (spec.mostPerWorker > 0) {
+            const auto present = held.perStep.find(demand.step);
+            tasks = std::min<std::int64_t>(
+                tasks, spec.mostPerWorker - (present == held.perStep.end() ? 0 : present->second));
+        }
+        return tasks;
+    }
+
+    /// Workers in the order in which they are filled.
+    [[nodiscard]] std::vector<const Held *> inOrder(const StepDemand &demand) const
+    {
+        std::vector<const Held *> all;
+        for (const std::pair<const WorkerId, Held> &known : workers) {
+            all.push_back(&known.second);
+        }
+        const RackId rack = demand.spec->dataRack;
+        std::stable_sort(all.begin(), all.end(), [&rack](const Held *left, const Held *right) {
+            const bool leftFar = !rack.value().empty() && left->worker.rack != rack;
+            const bool rightFar = !rack.value().empty() && right->worker.rack != rack;
+            return std::pair {leftFar, left->free()} < std::pair {rightFar, right->free()};
+        });
+        return all;
+    }
+
+    [[nodiscard]] std::vector<std::pair<std::uint32_t, WorkerId>> choose(
+        const StepDemand &demand) const
+    {
+        std::set<RackId> racks;
+        for (const std::pair<const WorkerId, Held> &known : workers) {
+            racks.insert(known.second.worker.rack);
+        }
+        std::vector<std::pair<std::uint32_t, WorkerId>> chosen;
+        for (const RackId &rack : demand.spec->oneRack ? racks : std::set<RackId> {}) {
+            chosen = within(demand, &rack);
+            if (chosen.size() == demand.waiting.size()) {
+                return chosen;
+            }
+        }
+        chosen = within(demand, nullptr);
+        const bool partOfGang = demand.spec->gang && chosen.size() < demand.waiting.size();
+        return partOfGang ? std::vector<std::pair<std::uint32_t, WorkerId>> {} : chosen;
+    }
+
+    [[nodiscard]] std::vector<std::pair<std::uint32_t, WorkerId>> within(
+        const StepDemand &demand, const RackId *rack) const
+    {
+        std::vector<std::pair<std::uint32_t, WorkerId>> chosen;
+        for (const Held *held : inOrder(demand)) {
+            const std::int64_t room =
+                rack == nullptr || held->worker.rack == *rack ? roomOf(*held, demand) : 0;
+            for (std::int64_t i = 0; i < room && chosen.size() < demand.waiting.size(); ++i) {
+                chosen.emplace_back(demand.waiting[chosen.size()], held->worker.id);
+            }
+        }
+        return chosen;
+    }
+
+    std::map<WorkerId, Held> workers;
+};
+
+std::vector<std::pair<std::uint32_t, WorkerId>> pairsOf(const std::vector<FleetChoice> &chosen)
+{
+    std::vector<std::pair<std::uint32_t, WorkerId>> pairs;
+    for (const FleetChoice &choice : chosen) {
+        pairs.emplace_back(choice.task, choice.worker);
+    }
+    return pairs;
+}
+
+std::string oneOf(const std::vector<std::string> &names)
+{
+    return *rc::gen::elementOf(names);
+}
+
+FleetWorker anyWorker()
+{
+    FleetWorker worker = workerOf("w" + std::to_string(*rc::gen::inRange(0, 12)),
+        *rc::gen::inRange(1U, 9U), oneOf({"r1", "r2", "r3"}));
+    worker.capacity.memory = ByteCount {*rc::gen::inRange<std::uint64_t>(0, 9)};
+    worker.service = ServiceName {oneOf({"matching", "matching", "other"})};
+    worker.open = *rc::gen::inRange(0, 4) > 0;
+    return worker;
+}
+
+StepSpec anyStep()
+{
+    StepSpec step = stepOf(*rc::gen::inRange(1U, 8U), *rc::gen::inRange(1U, 6U));
+    step.size.memory = ByteCount {*rc::gen::inRange<std::uint64_t>(0, 4)};
+    step.gang = *rc::gen::inRange(0, 3) == 0;
+    step.oneRack = *rc::gen::inRange(0, 4) == 0;
+    step.mostPerWorker = *rc::gen::inRange(0U, 3U);
+    step.label = WorkerLabel {oneOf({"", "", "a", "r1", "none"})};
+    step.dataRack = RackId {oneOf({"", "", "r2"})};
+    return step;
+}
+
 } // namespace
 
 TEST_CASE("small tasks leave whole workers free for a wide gang")
@@ -102,6 +237,80 @@
     }
 }
 
+TEST_CASE("choices are those of a look at every worker, whatever has come, gone and closed")
+{
+    rc::check("as the naive fleet", []() {
+        Fleet fleet;
+        NaiveFleet naive;
+        std::vector<std::tuple<WorkerId, TaskRef, StepSpec>> placed;
+        const int events = *rc::gen::inRange(1, 80);
+        for (int event = 0; event < events; ++event) {
+            const int kind = *rc::gen::inRange(0, 10);
+            if (kind < 4) {
+                const FleetWorker worker = anyWorker();
+                fleet.setWorker(worker);
+                naive.workers[worker.id].worker = worker;
+            } else if (kind == 4 && !naive.workers.empty()) {
+                NaiveFleet::Held &held = naive.workers.begin()->second;
+                held.worker.open = !held.worker.open;
+                fleet.setOpen(held.worker.id, held.worker.open);
+            } else if (kind == 5 && !placed.empty()) {
+                const auto [id, task, spec] = placed.back();
+                placed.pop_back();
+                fleet.release(id, task, spec);
+                NaiveFleet::Held &held = naive.workers.at(id);
+                held.milliCores -= spec.size.milliCores;
+                held.memory -= static_cast<std::int64_t>(spec.size.memory.value());
+                TaskRef step = task;
+                step.task = 0;
+                --held.perStep[step];
+            }
+            const StepSpec spec = anyStep();
+            StepDemand demand = demandFor(spec, std::to_string(event));
+            if (*rc::gen::arbitrary<bool>()) {
+                demand.avoided.insert(WorkerId {"w1"});
+            }
+            const std::vector<FleetChoice> chosen = fleet.choose(demand);
+            RC_ASSERT(pairsOf(chosen) == naive.choose(demand));
+            std::vector<WorkerId> all;
+            std::vector<WorkerId> suited;
+            for (const std::pair<const WorkerId, NaiveFleet::Held> &known : naive.workers) {
+                all.push_back(known.first);
+                if (NaiveFleet::mayRun(known.second, demand)) {
+                    suited.push_back(known.first);
+                }
+            }
+            RC_ASSERT(pairsOf(fleet.chooseAmong(demand, all)) == naive.choose(demand));
+            std::sort(suited.begin(), suited.end(), [&](const WorkerId &a, const WorkerId &b) {
+                const std::int64_t left = naive.workers.at(a).free();
+                const std::int64_t right = naive.workers.at(b).free();
+                return left != right ? left > right : a > b;
+            });
+            RC_ASSERT(fleet.suited(demand) == suited);
+            std::uint64_t open = 0;
+            std::uint64_t used = 0;
+            for (const std::pair<const WorkerId, NaiveFleet::Held> &known : naive.workers) {
+                if (known.second.worker.service == demand.service) {
+                    open += known.second.worker.open ? known.second.worker.capacity.milliCores : 0;
+                    used += static_cast<std::uint64_t>(known.second.milliCores);
+                }
+            }
+            RC_ASSERT(fleet.openMilliCores(demand.service) == open);
+            RC_ASSERT(fleet.usedMilliCores(demand.service) == used);
+            for (const FleetChoice &choice : chosen) {
+                TaskRef task = demand.step;
+                task.task = choice.task;
+                fleet.take(choice.worker, task, spec);
+                NaiveFleet::Held &held = naive.workers.at(choice.worker);
+                held.milliCores += spec.size.milliCores;
+                held.memory += static_cast<std::int64_t>(spec.size.memory.value());
+                ++held.perStep[demand.step];
+                placed.emplace_back(choice.worker, task, spec);
+            }
+        }
+    });
+}
+
 TEST_CASE("a worker never holds more than its capacity, whatever comes and goes")
 {
     rc::check("reserved within capacity", []() {
