--- /dev/null
+++ b/include/crocusmill/callqueue.h
@@ -0,0 +1,77 @@
+/// Calls of other VMs that wait for the leader's control thread, and whose turn is next.
+///
+/// Load pattern: more calls come than the thread can handle beside the journal and the workers.
+/// What keeps the cell alive goes first, what would be answered too late is refused when it comes,
+/// and what nobody waits for any more is dropped unread. Pure; owned by the control thread.
+
+#pragma once
+
+#include <crocusmill/ids.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+namespace crocusmill
+{
+
+/// In the order in which they are handled; a question and a submission take turns.
+enum class CallClass : std::uint8_t {
+    Presence, // VMs, workers and upstreams that say that they are there or leave
+    Change, // operators' reads and changes, and what is asked of recorded work
+    Cancel,
+    Question, // a job's state
+    Submission,
+};
+
+inline constexpr std::size_t callClasses = 5;
+
+/// A caller that does not say how long it waits is taken to wait this long.
+inline constexpr Milliseconds usualCallLimit {1'000};
+
+struct WaitingCall
+{
+    std::uint64_t id = 0; // the owner's
+    MonotonicTime arrived;
+    MonotonicTime deadline; // the caller has given up
+};
+
+class CallQueue
+{
+public:
+    /// Queues the call, or says after how long it may be tried again. Only questions and
+    /// submissions are refused, and only when the wait would be longer than half of the caller's
+    /// time: the rest is left for the journal and the way back.
+    [[nodiscard]] std::optional<Milliseconds> add(
+        CallClass callClass, const WaitingCall &call, MonotonicTime now);
+
+    struct Turn
+    {
+        std::uint64_t id = 0;
+        bool expired = false; // the caller has given up; not to be handled
+    };
+
+    /// The call whose turn it is.
+    [[nodiscard]] std::optional<Turn> next(MonotonicTime now);
+
+    [[nodiscard]] std::size_t size() const;
+    /// Until a call of this class that comes now would have its turn.
+    [[nodiscard]] Microseconds expectedWait(CallClass callClass) const;
+
+private:
+    [[nodiscard]] std::size_t ahead(CallClass callClass) const;
+    [[nodiscard]] const std::deque<WaitingCall> &of(CallClass callClass) const;
+    [[nodiscard]] CallClass nextClass();
+    void noteGap(MonotonicTime now);
+
+    std::array<std::deque<WaitingCall>, callClasses> waiting_;
+    bool questionLast_ = false; // of questions and submissions, a question had the last turn
+    // Mean time between two turns while calls wait, with all that the thread does in between.
+    std::chrono::nanoseconds gap_ {0};
+    // When the last call had its turn, if others waited then.
+    std::optional<MonotonicTime> lastTurn_;
+};
+
+} // namespace crocusmill
--- /dev/null
+++ b/src/admission/openlimit.cpp
@@ -0,0 +1,70 @@
+/// Calls that are open to the leader.
+
+#include <crocusmill/openlimit.h>
+
+#include <algorithm>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+/// A new answer's delay counts for one in so many.
+constexpr std::int64_t delaySamples = 8;
+
+} // namespace
+
+OpenLimit::OpenLimit(const OpenLimitSettings &settings)
+    : settings_(settings)
+    , limit_(settings.first)
+{
+}
+
+bool OpenLimit::take()
+{
+    if (open_ >= limit()) {
+        return false;
+    }
+    ++open_;
+    return true;
+}
+
+void OpenLimit::release()
+{
+    --open_;
+}
+
+void OpenLimit::answered(MonotonicTime sent, MonotonicTime now)
+{
+    const Microseconds delay = std::chrono::duration_cast<Microseconds>(now - sent);
+    delay_ += (delay - delay_) / delaySamples;
+    if (delay <= settings_.late) {
+        // A limit that is not used up says nothing about what the leader can do.
+        if (static_cast<double>(open_) * 2 >= limit_) {
+            limit_ = std::min(limit_ + 1 / limit_, settings_.most);
+        }
+        return;
+    }
+    if (sent >= lowered_) {
+        limit_ = std::max(limit_ * settings_.decrease, settings_.least);
+        lowered_ = now;
+    }
+}
+
+Milliseconds OpenLimit::retryAfter() const
+{
+    return std::chrono::ceil<Milliseconds>(delay_);
+}
+
+std::size_t OpenLimit::open() const
+{
+    return open_;
+}
+
+std::size_t OpenLimit::limit() const
+{
+    return static_cast<std::size_t>(limit_);
+}
+
+} // namespace crocusmill
