Calls have turns on the leader: what keeps the cell alive first, the rest a little at a time

Seen: with the processor charged, two thirds of a busy leader's time went to other VMs' calls in arrival order; heartbeats were sent late and the lease lapsed over and over. Cause: a call was decoded and handled when it was read, before whatever came after it. Change: the record is kept raw until the call has its turn. The caller states how long it waits and the call's class beside the record, so that calls wait in a CallQueue: presence, changes, cancels, then questions and submissions by turns. Calls whose caller has given up are dropped unread; questions and submissions that would wait longer than half of their caller's time are refused at once. A VM's calls to itself stand in the same row.

--- a/include/crocusmill/callqueue.h
+++ b/include/crocusmill/callqueue.h
@@ -41,9 +41,9 @@
 class CallQueue
 {
 public:
-    /// Queues the call, or says after how long it may be tried again. Only questions and
-    /// submissions are refused, and only when the wait would be longer than half of the caller's
-    /// time: the rest is left for the journal and the way back.
+    /// Queues the call, or says after how long it may be tried again. A question or a submission
+    /// is refused when its wait would be longer than half of the caller's time: the rest is left
+    /// for the journal and the way back. Others are refused only when thousands wait.
     [[nodiscard]] std::optional<Milliseconds> add(
         CallClass callClass, const WaitingCall &call, MonotonicTime now);
 
--- a/proto/peer.capnp
+++ b/proto/peer.capnp
@@ -62,6 +62,7 @@
 interface Peer {
   # Hands over one message of the replicated log; what answers it comes the other way.
   deliver @0 (message :ConsensusMessage) -> ();
-  # A control call and its reply, each a tagged record.
-  call @1 (request :Data) -> (reply :Data);
+  # A control call and its reply, each a tagged record. The other two say, before the record is
+  # read, how long the caller waits (zero: not stated) and which turn the call has (a CallClass).
+  call @1 (request :Data, limitMs :UInt32, callClass :UInt8) -> (reply :Data);
 }
--- a/proto/peer.capnp.h
+++ b/proto/peer.capnp.h
@@ -209,7 +209,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe57914ef694a0ae, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fe57914ef694a0ae, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1174,6 +1174,10 @@
   inline bool hasRequest() const;
   inline  ::capnp::Data::Reader getRequest() const;
 
+  inline  ::uint32_t getLimitMs() const;
+
+  inline  ::uint8_t getCallClass() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1209,6 +1213,12 @@
   inline void adoptRequest(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownRequest();
 
+  inline  ::uint32_t getLimitMs();
+  inline void setLimitMs( ::uint32_t value);
+
+  inline  ::uint8_t getCallClass();
+  inline void setCallClass( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2138,6 +2148,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Peer::CallParams::Reader::getLimitMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Peer::CallParams::Builder::getLimitMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::CallParams::Builder::setLimitMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Peer::CallParams::Reader::getCallClass() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Peer::CallParams::Builder::getCallClass() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Peer::CallParams::Builder::setCallClass( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::CallResults::Reader::hasReply() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/admission/callqueue.cpp
+++ b/src/admission/callqueue.cpp
@@ -17,22 +17,17 @@
 /// A longer gap says that the process stood still, not what calls cost.
 constexpr Milliseconds longestGap {50};
 
-Milliseconds inMilliseconds(Microseconds time)
-{
-    return std::chrono::ceil<Milliseconds>(time);
-}
-
 } // namespace
 
 std::optional<Milliseconds> CallQueue::add(
     CallClass callClass, const WaitingCall &call, MonotonicTime now)
 {
     std::deque<WaitingCall> &queue = waiting_.at(static_cast<std::size_t>(callClass));
-    if (callClass == CallClass::Question || callClass == CallClass::Submission) {
-        const Microseconds wait = expectedWait(callClass);
-        if (queue.size() >= mostOfClass || wait * 2 > call.deadline - now) {
-            return inMilliseconds(wait);
-        }
+    const Microseconds wait = expectedWait(callClass);
+    const bool mayWait = callClass != CallClass::Question && callClass != CallClass::Submission;
+    const bool tooLate = !mayWait && wait * 2 > call.deadline - now;
+    if (tooLate || queue.size() >= mostOfClass) {
+        return std::chrono::ceil<Milliseconds>(wait);
     }
     queue.push_back(call);
     return std::nullopt;
--- a/src/services/interfaces.h
+++ b/src/services/interfaces.h
@@ -47,7 +47,8 @@
 
     /// Sends without waiting; lost when the peer cannot be reached or does not keep up.
     virtual void deliver(const NodeAddress &to, const Message &message) = 0;
-    /// Errors: PeerError::Unreachable, TimedOut, Undecodable.
+    /// Errors: PeerError::Unreachable, TimedOut, Undecodable. A call to this VM itself has its turn
+    /// among those of the others.
     virtual void call(
         const NodeAddress &to, const Call &call, Milliseconds timeout, ReplyHandler done) = 0;
 
--- a/src/services/peerlink.cpp
+++ b/src/services/peerlink.cpp
@@ -4,6 +4,7 @@
 
 #include "src/net/consensuswire.h"
 #include "src/net/log.h"
+#include "src/wire/callclass.h"
 
 #include <kj/debug.h>
 
@@ -48,29 +49,62 @@
         return kj::READY_NOW;
     }
 
+    /// The record is read once the call has its turn.
     kj::Promise<void> call(CallContext context) override
     {
-        const Result<Call> decoded = decodeCall(asText(context.getParams().getRequest()));
-        if (!decoded || !handlers_->call) {
-            throw KJ_EXCEPTION(FAILED, "undecodable call");
-        }
         kj::PromiseFulfillerPair<std::string> pair = kj::newPromiseAndFulfiller<std::string>();
-        using Fulfiller = kj::Own<kj::PromiseFulfiller<std::string>>;
         const std::shared_ptr<Fulfiller> fulfiller =
             std::make_shared<Fulfiller>(kj::mv(pair.fulfiller));
-        handlers_->call(decoded.value(), [fulfiller](const Result<Reply> &reply) {
-            if (reply) {
-                (*fulfiller)->fulfill(encodeReply(reply.value()));
-            } else {
-                (*fulfiller)->reject(KJ_EXCEPTION(FAILED, "no reply"));
-            }
-        });
+        const rpc::Peer::CallParams::Reader params = context.getParams();
+        const CallClass callClass = readClass(params.getCallClass());
+        const Milliseconds limit =
+            params.getLimitMs() == 0 ? usualCallLimit : Milliseconds {params.getLimitMs()};
+        CallTurns::Work work;
+        work.handle = [handlers = handlers_, fulfiller, request = asText(params.getRequest())]() {
+            handle(*handlers, request, fulfiller);
+        };
+        work.refuse = [callClass, fulfiller](Milliseconds retryAfter) {
+            answer(fulfiller, refusalOf(callClass, retryAfter));
+        };
+        work.drop = [fulfiller]() {
+            answer(fulfiller, PeerError::TimedOut);
+        };
+        context.releaseParams();
+        handlers_->turns->add(callClass, limit, std::move(work));
         return pair.promise.then([context](const std::string &encoded) mutable {
             context.getResults().setReply(asData(encoded));
         });
     }
 
 private:
+    using Fulfiller = kj::Own<kj::PromiseFulfiller<std::string>>;
+
+    static CallClass readClass(std::uint8_t stated)
+    {
+        return stated < callClasses ? static_cast<CallClass>(stated) : CallClass::Change;
+    }
+
+    static void answer(const std::shared_ptr<Fulfiller> &fulfiller, const Result<Reply> &reply)
+    {
+        if (reply) {
+            (*fulfiller)->fulfill(encodeReply(reply.value()));
+        } else {
+            (*fulfiller)->reject(KJ_EXCEPTION(FAILED, "no reply"));
+        }
+    }
+
+    static void handle(const Handlers &handlers, const std::string &request,
+        const std::shared_ptr<Fulfiller> &fulfiller)
+    {
+        const Result<Call> decoded = decodeCall(request);
+        if (!decoded || !handlers.call) {
+            answer(fulfiller, PeerError::Undecodable);
+            return;
+        }
+        handlers.call(
+            decoded.value(), [fulfiller](const Result<Reply> &reply) { answer(fulfiller, reply); });
+    }
+
     std::shared_ptr<Handlers> handlers_;
 };
 
@@ -88,6 +122,17 @@
     return kj::heap<PeerServer>(std::move(handlers));
 }
 
+Result<Reply> refusalOf(CallClass callClass, Milliseconds retryAfter)
+{
+    if (callClass == CallClass::Presence || callClass == CallClass::Change) {
+        return PeerError::TimedOut;
+    }
+    GraphReply refused;
+    refused.outcome = GraphOutcome::Refused;
+    refused.retryAfter = retryAfter;
+    return Reply {refused};
+}
+
 Link::Link(asio::io_context &context, PeerKey &key, NodeAddress address, std::string localIp)
     : context_(context)
     , key_(key)
@@ -154,6 +199,8 @@
     });
     capnp::Request<rpc::Peer::CallParams, rpc::Peer::CallResults> request = peer_->callRequest();
     request.setRequest(asData(encodeCall(call)));
+    request.setLimitMs(static_cast<std::uint32_t>(timeout.count()));
+    request.setCallClass(static_cast<std::uint8_t>(callClassOf(call)));
     const std::uint64_t generation = sent();
     tasks_.add(request.send().then(
         [this, generation, one](capnp::Response<rpc::Peer::CallResults> &&response) {
--- a/src/services/peerlink.h
+++ b/src/services/peerlink.h
@@ -5,6 +5,7 @@
 
 #include "proto/peer.capnp.h"
 #include "src/net/peerstream.h"
+#include "src/services/callturns.h"
 #include "src/services/interfaces.h"
 
 #include <capnp/rpc-twoparty.h>
@@ -20,12 +21,18 @@
 {
     std::function<void(const Message &)> message;
     std::function<void(const Call &, ReplyHandler)> call;
+    /// Which call is answered when.
+    std::unique_ptr<CallTurns> turns;
 };
 
 [[nodiscard]] capnp::ReaderOptions peerReaderOptions();
 /// The calls that this VM answers.
 [[nodiscard]] capnp::Capability::Client makePeerServer(std::shared_ptr<Handlers> handlers);
 
+/// The reply to a call that is not handled: GraphOutcome::Refused where there is one, else an
+/// error.
+[[nodiscard]] Result<Reply> refusalOf(CallClass callClass, Milliseconds retryAfter);
+
 /// A call that failed has told its handler so already.
 class IgnoreErrors final : public kj::TaskSet::ErrorHandler
 {
--- a/src/services/peerservice.cpp
+++ b/src/services/peerservice.cpp
@@ -4,6 +4,7 @@
 
 #include "src/net/log.h"
 #include "src/services/peerlink.h"
+#include "src/wire/callclass.h"
 
 #include <map>
 
@@ -25,6 +26,7 @@
         , acceptor_(context_)
         , handlers_(std::make_shared<Handlers>())
     {
+        handlers_->turns = std::make_unique<CallTurns>(context_);
     }
 
     std::string_view name() const override
@@ -60,6 +62,7 @@
     {
         boost::system::error_code ignored;
         acceptor_.close(ignored);
+        handlers_->turns->stop();
         handlers_->message = nullptr;
         handlers_->call = nullptr;
         for (const std::pair<const NodeAddress, std::shared_ptr<Link>> &known : links_) {
@@ -77,6 +80,10 @@
     void call(
         const NodeAddress &to, const Call &call, Milliseconds timeout, ReplyHandler done) override
     {
+        if (to == settings_.advertise) {
+            callSelf(call, timeout, done);
+            return;
+        }
         linkTo(to).call(call, timeout, std::move(done));
     }
 
@@ -91,6 +98,27 @@
     }
 
 private:
+    /// In the same row as other VMs' calls.
+    void callSelf(const Call &call, Milliseconds timeout, const ReplyHandler &done)
+    {
+        const CallClass callClass = callClassOf(call);
+        CallTurns::Work work;
+        work.handle = [handlers = handlers_, call, done]() {
+            if (handlers->call) {
+                handlers->call(call, done);
+            } else {
+                done(PeerError::Stopping);
+            }
+        };
+        work.refuse = [callClass, done](Milliseconds retryAfter) {
+            done(refusalOf(callClass, retryAfter));
+        };
+        work.drop = [done]() {
+            done(PeerError::TimedOut);
+        };
+        handlers_->turns->add(callClass, timeout, std::move(work));
+    }
+
     Link &linkTo(const NodeAddress &to)
     {
         std::shared_ptr<Link> &link = links_[to];
--- /dev/null
+++ b/src/wire/callclass.cpp
@@ -0,0 +1,62 @@
+/// Classes of calls.
+
+#include "src/wire/callclass.h"
+
+namespace crocusmill
+{
+
+namespace
+{
+
+CallClass classOf(const GraphCall &call)
+{
+    switch (call.action) {
+    case GraphAction::Submit:
+        return CallClass::Submission;
+    case GraphAction::Show:
+        return CallClass::Question;
+    case GraphAction::Cancel:
+        return CallClass::Cancel;
+    }
+    return CallClass::Question;
+}
+
+CallClass classOf(const ProposeCall & /*call*/)
+{
+    return CallClass::Change;
+}
+
+CallClass classOf(const WorkCall & /*call*/)
+{
+    return CallClass::Change;
+}
+
+CallClass classOf(const JobCall & /*call*/)
+{
+    return CallClass::Change;
+}
+
+CallClass classOf(const OperatorCall & /*call*/)
+{
+    return CallClass::Change;
+}
+
+CallClass classOf(const CatalogCall & /*call*/)
+{
+    return CallClass::Change;
+}
+
+/// What is there, leaves, forms a cell or is asked for tickets.
+template <typename Other> CallClass classOf(const Other & /*call*/)
+{
+    return CallClass::Presence;
+}
+
+} // namespace
+
+CallClass callClassOf(const Call &call)
+{
+    return std::visit([](const auto &body) { return classOf(body); }, call);
+}
+
+} // namespace crocusmill
