--- a/test/clientservice.cpp
+++ b/test/clientservice.cpp
@@ -125,6 +125,20 @@
         return *answer;
     }
 
+    /// Makes calls that are alike and runs until all are answered.
+    std::vector<Result<Reply>> callMany(std::size_t count, const Call &call, Milliseconds timeout)
+    {
+        std::vector<Result<Reply>> answers;
+        for (std::size_t i = 0; i < count; ++i) {
+            client_->call(call, timeout,
+                [&answers](const Result<Reply> &reply) { answers.push_back(reply); });
+        }
+        while (answers.size() < count) {
+            control_.run_one();
+        }
+        return answers;
+    }
+
     asio::io_context control_;
     Settings settings_;
     Metrics metrics_;
@@ -133,7 +147,28 @@
     LeaderClient *client_ = nullptr;
 };
 
-constexpr Milliseconds patience {20'000};
+constexpr Milliseconds patience {2'000};
+
+GraphCall graphCall(GraphAction action, const std::string &job)
+{
+    GraphCall call;
+    call.action = action;
+    call.host = "desk.example";
+    call.path = "/quotes/" + job;
+    return call;
+}
+
+GraphReply graphReply(GraphOutcome outcome)
+{
+    GraphReply reply;
+    reply.outcome = outcome;
+    return reply;
+}
+
+bool isRefused(const Result<Reply> &reply)
+{
+    return reply && std::get<GraphReply>(reply.value()).outcome == GraphOutcome::Refused;
+}
 
 } // namespace
 
@@ -186,4 +221,72 @@
     CHECK(asked.size() <= 3);
 }
 
+TEST_CASE("a leader that is alive and slow gets a call once, however long it takes")
+{
+    Finder finder;
+    finder.peers_->answer(vm(1), Redirect {vm(2)});
+    finder.peers_->answer(vm(3), Redirect {vm(2)});
+    CHECK_FALSE(finder.call(patience).has_value());
+    const std::vector<NodeAddress> &asked = finder.peers_->asked();
+    CHECK(std::count(asked.begin(), asked.end(), vm(2)) == 1);
+    CHECK(asked.size() <= 11); // one other replica in 200 ms
+}
+
+TEST_CASE("calls beyond the limit are refused unsent, and presence is not limited")
+{
+    Finder finder;
+    finder.peers_->answer(vm(1), Redirect {vm(2)});
+    finder.peers_->answer(vm(3), Redirect {vm(2)});
+    constexpr std::size_t many = 200;
+    const Call submission {graphCall(GraphAction::Submit, "a")};
+    const std::vector<Result<Reply>> answers = finder.callMany(many, submission, patience);
+    const std::vector<NodeAddress> &asked = finder.peers_->asked();
+    const std::ptrdiff_t refused = std::count_if(answers.begin(), answers.end(), isRefused);
+    CHECK(refused > 0);
+    CHECK(std::count(asked.begin(), asked.end(), vm(2)) + refused == many);
+    // The others were sent and may have been accepted.
+    CHECK(std::count_if(answers.begin(), answers.end(), [](const Result<Reply> &reply) {
+        return !reply;
+    }) == static_cast<std::ptrdiff_t>(many) - refused);
+    const std::size_t before = asked.size();
+    static_cast<void>(finder.callMany(many, PresenceCall {}, Milliseconds {50}));
+    CHECK(asked.size() >= before + many);
+}
+
+TEST_CASE("a submission that an earlier leader may have accepted is not refused")
+{
+    Finder finder;
+    finder.peers_->answer(vm(1), Redirect {vm(3)});
+    finder.peers_->answer(vm(3), graphReply(GraphOutcome::Refused));
+    // The second replica is asked first and led until now.
+    const Call submission {graphCall(GraphAction::Submit, "a")};
+    CHECK_FALSE(finder.callMany(1, submission, patience).front().has_value());
+    // The leader is known from now on; what it alone was sent is refused.
+    CHECK(isRefused(finder.callMany(1, submission, patience).front()));
+}
+
+TEST_CASE("questions about one job that are open at a time share a call")
+{
+    Finder finder;
+    finder.peers_->answer(vm(2), graphReply(GraphOutcome::Done));
+    const Call question {graphCall(GraphAction::Show, "a")};
+    constexpr std::size_t several = 5;
+    for (const Result<Reply> &reply : finder.callMany(several, question, patience)) {
+        REQUIRE(reply.has_value());
+        CHECK(std::get<GraphReply>(reply.value()).outcome == GraphOutcome::Done);
+    }
+    CHECK(finder.peers_->asked().size() == 1);
+}
+
+TEST_CASE("a question that came after an unknown job was asked for is asked again")
+{
+    Finder finder;
+    finder.peers_->answer(vm(2), graphReply(GraphOutcome::NoJob));
+    const Call question {graphCall(GraphAction::Show, "a")};
+    constexpr std::size_t several = 5;
+    static_cast<void>(finder.callMany(several, question, patience));
+    // Once for the first, once for all that came while that was open.
+    CHECK(finder.peers_->asked().size() == 2);
+}
+
 } // namespace crocusmill
