A new leader calls its workers a few at a time, the most loaded first

Change: 16 workers a turn, by recorded placements; a worker that is heard by itself meanwhile or leaves is not called for what the last leader knew of it. Evidence: test/leaderservice.cpp, 350 workers: at most 20 calls before the loop turns, all within 0.2 s.

--- a/src/services/dispatchdesk.cpp
+++ b/src/services/dispatchdesk.cpp
@@ -4,9 +4,21 @@
 
 #include "src/net/clock.h"
 
+#include <crocusmill/takeover.h>
+
+#include <algorithm>
+
 namespace crocusmill
 {
 
+namespace
+{
+
+/// First calls of one turn; the journal's messages come in between.
+constexpr std::size_t firstCallsPerTurn = 16;
+
+} // namespace
+
 DispatchDesk::DispatchDesk(asio::io_context &control, Journal &journal, Peers &peers,
     WorkerLink *link, TicketOffice *office, NodeAddress self, Metrics &metrics)
     : control_(control)
@@ -16,6 +28,7 @@
     , office_(office)
     , self_(std::move(self))
     , metrics_(metrics)
+    , hearing_(control)
     , graphs_(journal, [this]() {
         if (dispatcher_) {
             dispatcher_->wake();
@@ -34,13 +47,38 @@
         {control_, journal_, peers_, *link_, *office_, metrics_, self_, term, propose},
         monotonicNow());
     // Leases of what runs are short: it is looked for where the last leader knew it to be.
-    for (const WorkerHeartbeat &worker : workers_) {
+    toHear_ = workers_;
+    sortByPlacements(toHear_, journal_.state().graphs());
+    std::reverse(toHear_.begin(), toHear_.end());
+    hearSome();
+}
+
+void DispatchDesk::hearSome()
+{
+    for (std::size_t i = 0; i < firstCallsPerTurn && !toHear_.empty(); ++i) {
+        const WorkerHeartbeat worker = toHear_.back();
+        toHear_.pop_back();
         dispatcher_->heard(worker, monotonicNow());
     }
+    if (!toHear_.empty()) {
+        scheduleHearing();
+    }
+}
+
+void DispatchDesk::scheduleHearing()
+{
+    hearing_.expires_after(Milliseconds {0});
+    hearing_.async_wait([this](const boost::system::error_code &error) {
+        if (!error && dispatcher_) {
+            hearSome();
+        }
+    });
 }
 
 void DispatchDesk::follow()
 {
+    hearing_.cancel();
+    toHear_.clear();
     if (dispatcher_) {
         dispatcher_->retire();
         dispatcher_.reset();
@@ -74,6 +112,7 @@
 {
     metrics_.count({"leader_calls_total", "call=\"heartbeat\""});
     const WorkerHeartbeat &heard = call.heartbeat;
+    std::erase_if(toHear_, [&heard](const WorkerHeartbeat &known) { return known.id == heard.id; });
     if (dispatcher_ && call.leaves) {
         dispatcher_->left(heard.id, heard.incarnation, monotonicNow());
     } else if (dispatcher_) {
--- a/src/services/dispatchdesk.h
+++ b/src/services/dispatchdesk.h
@@ -36,6 +36,8 @@
 
 private:
     void noteLeaving(const WorkerHeartbeat &worker, const ReplyHandler &done);
+    void hearSome();
+    void scheduleHearing();
 
     asio::io_context &control_;
     Journal &journal_;
@@ -46,6 +48,9 @@
     Metrics &metrics_;
     std::vector<WorkerHeartbeat> workers_; // as the last leader listed them
     std::shared_ptr<Dispatcher> dispatcher_; // null while this VM does not lead
+    // Of workers_: not yet called in this term, and not heard by themselves. The next one is last.
+    std::vector<WorkerHeartbeat> toHear_;
+    asio::steady_timer hearing_;
     GraphDesk graphs_;
 };
 
--- a/test/leaderservice.cpp
+++ b/test/leaderservice.cpp
@@ -4,6 +4,9 @@
 
 #include "src/net/peerstream.h"
 #include "test/fakes/callingleader.h"
+#include "test/fakes/graphs.h"
+
+#include <crocusmill/takeover.h>
 
 #include <catch2/catch.hpp>
 
@@ -91,4 +94,51 @@
     CHECK(leader.link.holds.size() == 1);
 }
 
+TEST_CASE("a new leader calls its workers a few at a time, and none that has just left")
+{
+    fakes::CallingLeader leader;
+    REQUIRE(leader.started);
+    std::vector<WorkerHeartbeat> known;
+    constexpr std::size_t many = 350;
+    for (std::size_t i = 0; i < many; ++i) {
+        WorkerHeartbeat worker;
+        worker.id = WorkerId {"w" + std::to_string(i)};
+        worker.incarnation = Incarnation {"1000"};
+        worker.sequence = 1;
+        known.push_back(worker);
+    }
+    leader.kernel.find<Leader>(names::leader)->learnWorkers(known);
+    static_cast<void>(leader.peers.ask(PresenceCall {})); // the term's first call
+    CHECK(!leader.link.holds.empty());
+    CHECK(leader.link.holds.size() <= 20);
+    HeartbeatCall farewell;
+    farewell.heartbeat = known.back();
+    farewell.leaves = true;
+    static_cast<void>(leader.peers.ask(farewell));
+    leader.control.run_for(Milliseconds {200});
+    CHECK(leader.link.holds.size() == many - 1);
+}
+
+TEST_CASE("a new leader turns first to the workers that run the most")
+{
+    GraphBook graphs;
+    constexpr std::uint32_t tasks = 3;
+    graphs.submit({fakes::graphOf("a", {fakes::stepOf(tasks)}), WallTime {}});
+    PlaceRuns placed;
+    for (std::uint32_t i = 0; i < tasks; ++i) {
+        const WorkerId worker {i == 0 ? "one" : "two"};
+        placed.placements.push_back(
+            {TaskRef {GraphId {"a"}, 0, 0, i}, RunNumber {1}, worker, Incarnation {"1000"}});
+    }
+    graphs.place(placed);
+    std::vector<WorkerHeartbeat> workers(3);
+    workers[0].id = WorkerId {"none"};
+    workers[1].id = WorkerId {"one"};
+    workers[2].id = WorkerId {"two"};
+    sortByPlacements(workers, graphs);
+    CHECK(workers[0].id == WorkerId {"two"});
+    CHECK(workers[1].id == WorkerId {"one"});
+    CHECK(workers[2].id == WorkerId {"none"});
+}
+
 } // namespace crocusmill
