Clients' calls keep a part of a busy leader's thread, and their wait counts all that it does

Change: a turn takes up to half of the time that other work had since calls began to wait (2 to 25 ms); questions and submissions have every fourth turn; their wait is reckoned from the time between their own turns. What is refused or dropped is recorded once a second (calls.behind). Evidence: test/callqueue.cpp, test/overload.cpp with rounds of 200 ms.

--- a/include/crocusmill/callqueue.h
+++ b/include/crocusmill/callqueue.h
@@ -17,7 +17,8 @@
 namespace crocusmill
 {
 
-/// In the order in which they are handled; a question and a submission take turns.
+/// In the order in which they are handled. Questions and submissions take turns, and together they
+/// have every fourth turn, whatever else waits.
 enum class CallClass : std::uint8_t {
     Presence, // VMs, workers and upstreams that say that they are there or leave
     Change, // operators' reads and changes, and what is asked of recorded work
@@ -31,6 +32,10 @@
 /// A caller that does not say how long it waits is taken to wait this long.
 inline constexpr Milliseconds usualCallLimit {1'000};
 
+/// How long calls may have the thread at a time, after everything else has had it for `others`:
+/// calls get a third of the time when there is too little for all, and nothing waits long for them.
+[[nodiscard]] Microseconds turnBudget(Microseconds others);
+
 struct WaitingCall
 {
     std::uint64_t id = 0; // the owner's
@@ -58,19 +63,22 @@
 
     [[nodiscard]] std::size_t size() const;
     /// Until a call of this class that comes now would have its turn.
-    [[nodiscard]] Microseconds expectedWait(CallClass callClass) const;
+    [[nodiscard]] Microseconds expectedWait(CallClass callClass, MonotonicTime now) const;
 
 private:
     [[nodiscard]] std::size_t ahead(CallClass callClass) const;
     [[nodiscard]] const std::deque<WaitingCall> &of(CallClass callClass) const;
+    [[nodiscard]] bool clientsWait() const;
     [[nodiscard]] CallClass nextClass();
-    void noteGap(MonotonicTime now);
+    void noteTurn(MonotonicTime now);
 
     std::array<std::deque<WaitingCall>, callClasses> waiting_;
     bool questionLast_ = false; // of questions and submissions, a question had the last turn
-    // Mean time between two turns while calls wait, with all that the thread does in between.
+    std::uint32_t othersInRow_ = 0; // turns since a question or a submission had one
+    // Mean time between two turns of questions and submissions while such wait, with all that the
+    // thread does in between.
     std::chrono::nanoseconds gap_ {0};
-    // When the last call had its turn, if others waited then.
+    // When one of them had a turn, if others waited then.
     std::optional<MonotonicTime> lastTurn_;
 };
 
--- a/include/crocusmill/takeover.h
+++ b/include/crocusmill/takeover.h
@@ -5,8 +5,8 @@
 
 #pragma once
 
-#include <crocusmill/graphbook.h>
 #include <crocusmill/announcement.h>
+#include <crocusmill/graphbook.h>
 
 #include <vector>
 
--- a/src/admission/callqueue.cpp
+++ b/src/admission/callqueue.cpp
@@ -14,16 +14,27 @@
 constexpr std::size_t mostOfClass = 4'096;
 /// A new sample of the gap counts for one in so many.
 constexpr std::int64_t gapSamples = 32;
+/// Turns in a row that others may have before questions and submissions.
+constexpr std::uint32_t mostOthersInRow = 3;
 /// A longer gap says that the process stood still, not what calls cost.
-constexpr Milliseconds longestGap {50};
+constexpr Milliseconds longestGap {100};
+
+constexpr Microseconds shortestTurn {2'000};
+/// A quarter of the journal's usual heartbeat interval.
+constexpr Microseconds longestTurn {25'000};
 
 } // namespace
 
+Microseconds turnBudget(Microseconds others)
+{
+    return std::clamp(others / 2, shortestTurn, longestTurn);
+}
+
 std::optional<Milliseconds> CallQueue::add(
     CallClass callClass, const WaitingCall &call, MonotonicTime now)
 {
     std::deque<WaitingCall> &queue = waiting_.at(static_cast<std::size_t>(callClass));
-    const Microseconds wait = expectedWait(callClass);
+    const Microseconds wait = expectedWait(callClass, now);
     const bool mayWait = callClass != CallClass::Question && callClass != CallClass::Submission;
     const bool tooLate = !mayWait && wait * 2 > call.deadline - now;
     if (tooLate || queue.size() >= mostOfClass) {
@@ -36,35 +47,47 @@
 std::optional<CallQueue::Turn> CallQueue::next(MonotonicTime now)
 {
     if (size() == 0) {
-        lastTurn_.reset();
         return std::nullopt;
     }
-    noteGap(now);
-    std::deque<WaitingCall> &queue = waiting_.at(static_cast<std::size_t>(nextClass()));
+    const CallClass callClass = nextClass();
+    std::deque<WaitingCall> &queue = waiting_.at(static_cast<std::size_t>(callClass));
     const WaitingCall call = queue.front();
     queue.pop_front();
-    lastTurn_.reset();
-    if (size() > 0) {
-        lastTurn_ = now;
+    if (callClass == CallClass::Question || callClass == CallClass::Submission) {
+        othersInRow_ = 0;
+        noteTurn(now);
+    } else {
+        ++othersInRow_;
     }
     return Turn {call.id, now >= call.deadline};
 }
 
-void CallQueue::noteGap(MonotonicTime now)
+void CallQueue::noteTurn(MonotonicTime now)
 {
-    if (!lastTurn_) {
-        return;
+    if (lastTurn_) {
+        const std::chrono::nanoseconds gap =
+            std::min<std::chrono::nanoseconds>(now - *lastTurn_, longestGap);
+        gap_ += (gap - gap_) / gapSamples;
     }
-    const std::chrono::nanoseconds gap =
-        std::min<std::chrono::nanoseconds>(now - *lastTurn_, longestGap);
-    gap_ += (gap - gap_) / gapSamples;
+    lastTurn_.reset();
+    if (clientsWait()) {
+        lastTurn_ = now;
+    }
+}
+
+bool CallQueue::clientsWait() const
+{
+    return !of(CallClass::Question).empty() || !of(CallClass::Submission).empty();
 }
 
 CallClass CallQueue::nextClass()
 {
-    for (const CallClass callClass : {CallClass::Presence, CallClass::Change, CallClass::Cancel}) {
-        if (!of(callClass).empty()) {
-            return callClass;
+    if (!clientsWait() || othersInRow_ < mostOthersInRow) {
+        for (const CallClass callClass :
+            {CallClass::Presence, CallClass::Change, CallClass::Cancel}) {
+            if (!of(callClass).empty()) {
+                return callClass;
+            }
         }
     }
     const bool questions = !of(CallClass::Question).empty();
@@ -87,25 +110,27 @@
     return waiting_.at(static_cast<std::size_t>(callClass));
 }
 
+/// Questions and submissions that go before one that comes now.
 std::size_t CallQueue::ahead(CallClass callClass) const
 {
-    std::size_t count = 0;
-    for (std::size_t i = 0; i <= static_cast<std::size_t>(callClass); ++i) {
-        count += waiting_.at(i).size();
-    }
-    if (callClass == CallClass::Question) {
-        count += std::min(of(callClass).size() + 1, of(CallClass::Submission).size());
-    } else if (callClass == CallClass::Submission) {
-        const std::size_t questions = of(CallClass::Question).size();
-        count -= questions - std::min(of(callClass).size() + 1, questions);
-    }
-    return count;
+    const std::size_t own = of(callClass).size();
+    const std::size_t other =
+        of(callClass == CallClass::Question ? CallClass::Submission : CallClass::Question).size();
+    return own + std::min(own + 1, other);
 }
 
-Microseconds CallQueue::expectedWait(CallClass callClass) const
+Microseconds CallQueue::expectedWait(CallClass callClass, MonotonicTime now) const
 {
+    if (callClass != CallClass::Question && callClass != CallClass::Submission) {
+        return Microseconds {0};
+    }
+    // What waits longer than usual for its turn says that turns have become rare.
+    std::chrono::nanoseconds gap = gap_;
+    if (lastTurn_) {
+        gap = std::max(gap, std::min<std::chrono::nanoseconds>(now - *lastTurn_, longestGap));
+    }
     return std::chrono::duration_cast<Microseconds>(
-        gap_ * static_cast<std::int64_t>(ahead(callClass)));
+        gap * static_cast<std::int64_t>(ahead(callClass)));
 }
 
 } // namespace crocusmill
--- a/src/services/callturns.cpp
+++ b/src/services/callturns.cpp
@@ -3,6 +3,7 @@
 #include "src/services/callturns.h"
 
 #include "src/net/clock.h"
+#include "src/net/log.h"
 
 namespace crocusmill
 {
@@ -10,8 +11,8 @@
 namespace
 {
 
-/// Of one turn. The journal's heartbeat interval is fifty times as long.
-constexpr Milliseconds turnBudget {2};
+/// Between two records of calls that were not handled.
+constexpr Milliseconds recordInterval {1'000};
 
 } // namespace
 
@@ -30,6 +31,8 @@
     const std::optional<Milliseconds> refused =
         queue_.add(callClass, {++lastId_, now, now + limit}, now);
     if (refused) {
+        ++sums_.refused;
+        record(now);
         work.refuse(*refused);
         return;
     }
@@ -49,6 +52,7 @@
     if (std::exchange(scheduled_, true)) {
         return;
     }
+    scheduledAt_ = monotonicNow();
     asio::post(control_, [this, alive = std::weak_ptr<bool> {alive_}]() {
         if (!alive.expired()) {
             scheduled_ = false;
@@ -59,10 +63,23 @@
 
 void CallTurns::takeTurn()
 {
-    MonotonicTime now = monotonicNow();
-    const MonotonicTime until = now + turnBudget;
+    const MonotonicTime began = monotonicNow();
     const std::weak_ptr<bool> alive = alive_;
-    while (now < until) {
+    takeTurnUntil(
+        began + turnBudget(std::chrono::duration_cast<Microseconds>(began - scheduledAt_)));
+    if (alive.expired()) {
+        return;
+    }
+    record(monotonicNow());
+    if (queue_.size() > 0) {
+        schedule();
+    }
+}
+
+void CallTurns::takeTurnUntil(MonotonicTime until)
+{
+    const std::weak_ptr<bool> alive = alive_;
+    for (MonotonicTime now = monotonicNow(); now < until; now = monotonicNow()) {
         const std::optional<CallQueue::Turn> turn = queue_.next(now);
         if (!turn) {
             return;
@@ -71,18 +88,35 @@
         const Work work = std::move(found->second);
         waiting_.erase(found);
         if (turn->expired) {
+            ++sums_.dropped;
             work.drop();
         } else {
+            ++sums_.handled;
             work.handle();
         }
         if (alive.expired()) {
             return;
         }
-        now = monotonicNow();
     }
-    if (queue_.size() > 0) {
-        schedule();
+}
+
+/// One record a second while calls are refused or dropped.
+void CallTurns::record(MonotonicTime now)
+{
+    if (now < recordDue_) {
+        return;
+    }
+    recordDue_ = now + recordInterval;
+    const Sums sums = std::exchange(sums_, {});
+    if (sums.refused + sums.dropped == 0) {
+        return;
     }
+    const Milliseconds wait =
+        std::chrono::duration_cast<Milliseconds>(queue_.expectedWait(CallClass::Submission, now));
+    logWarning("calls.behind",
+        {{"handled", sums.handled}, {"refused", sums.refused}, {"dropped", sums.dropped},
+            {"waiting", std::uint64_t {queue_.size()}},
+            {"wait_ms", static_cast<std::uint64_t>(wait.count())}});
 }
 
 } // namespace crocusmill
--- a/src/services/callturns.h
+++ b/src/services/callturns.h
@@ -38,13 +38,26 @@
     void stop();
 
 private:
+    /// Since the last record.
+    struct Sums
+    {
+        std::uint64_t handled = 0;
+        std::uint64_t refused = 0;
+        std::uint64_t dropped = 0;
+    };
+
     void schedule();
     void takeTurn();
+    void takeTurnUntil(MonotonicTime until);
+    void record(MonotonicTime now);
 
     asio::io_context &control_;
     CallQueue queue_;
     std::map<std::uint64_t, Work> waiting_; // what is in queue_, by its id
     std::uint64_t lastId_ = 0;
+    MonotonicTime scheduledAt_ {}; // the next turn, or the last one
+    Sums sums_;
+    MonotonicTime recordDue_ {};
     bool scheduled_ = false;
     bool stopped_ = false;
     // Turns that are still posted find out by it that this is gone.
--- a/test/callqueue.cpp
+++ b/test/callqueue.cpp
@@ -139,4 +139,43 @@
     CHECK_FALSE(calls.add(CallClass::Submission));
 }
 
+TEST_CASE("calls have a third of a busy thread's time, and never much of it at once")
+{
+    CHECK(turnBudget(Milliseconds {1}) == Milliseconds {2});
+    CHECK(turnBudget(Milliseconds {30}) == Milliseconds {15});
+    CHECK(turnBudget(Milliseconds {2'000}) == Milliseconds {25});
+}
+
+TEST_CASE("heartbeats that fill the thread do not keep clients from it")
+{
+    Calls calls;
+    constexpr int many = 100;
+    for (int i = 0; i < many; ++i) {
+        REQUIRE_FALSE(calls.add(CallClass::Presence));
+    }
+    REQUIRE_FALSE(calls.add(CallClass::Submission));
+    const std::uint64_t submission = calls.id;
+    int turns = 1;
+    while (calls.queue.next(calls.now)->id != submission) {
+        ++turns;
+    }
+    CHECK(turns <= 4);
+}
+
+TEST_CASE("the wait of clients' calls counts what else the thread does")
+{
+    Calls calls;
+    constexpr int many = 100;
+    for (int i = 0; i < many; ++i) {
+        REQUIRE_FALSE(calls.add(CallClass::Submission));
+        for (int k = 0; k < 4; ++k) {
+            REQUIRE_FALSE(calls.add(CallClass::Presence));
+        }
+    }
+    // Each fourth turn of 10 ms is a submission's.
+    calls.drain(many * 2, Milliseconds {10});
+    CHECK(calls.queue.expectedWait(CallClass::Submission, calls.now) > Milliseconds {1'000});
+    CHECK(calls.add(CallClass::Submission));
+}
+
 } // namespace crocusmill
--- a/test/overload.cpp
+++ b/test/overload.cpp
@@ -40,7 +40,6 @@
 constexpr Microseconds workerInterval {1'250};
 constexpr Milliseconds roundCost {4};
 constexpr Milliseconds roundInterval {25};
-constexpr Milliseconds turnBudget {2};
 /// Clients' requests that the thread can handle beside all else.
 constexpr double capacity = 2'400;
 constexpr double questionShare = 0.7;
@@ -58,9 +57,10 @@
 public:
     /// `ordered`: calls wait in a CallQueue and entries have an OpenLimit; otherwise they are
     /// handled as they come, and an entry sends a call again when it is not answered soon.
-    Replay(double load, bool ordered)
+    Replay(double load, bool ordered, Milliseconds round = roundCost)
         : load_(load)
         , ordered_(ordered)
+        , round_(round)
         , limits_(entries)
     {
     }
@@ -69,7 +69,7 @@
     {
         every(journalInterval, journalCost);
         every(workerInterval, workerCost);
-        every(roundInterval, roundCost);
+        scheduleRound();
         arrive();
         while (now_ < start() + length) {
             deliverDue();
@@ -113,6 +113,7 @@
         MonotonicTime arrived;
         Nanoseconds cost {0};
         AttemptPtr call; // null: the journal, a worker or a round
+        bool round = false; // the next one is due some time after it
     };
 
     static MonotonicTime start()
@@ -138,6 +139,11 @@
         });
     }
 
+    void scheduleRound()
+    {
+        in(roundInterval, [this]() { inbox_.push_back({now_, round_, nullptr, true}); });
+    }
+
     void deliverDue()
     {
         const MonotonicTime until = now_;
@@ -231,6 +237,9 @@
             if (!item.call) {
                 worstOther_ = std::max<Nanoseconds>(worstOther_, now_ - item.arrived);
                 now_ += item.cost;
+                if (item.round) {
+                    scheduleRound();
+                }
             } else {
                 now_ += item.cost;
                 takeIn(item.call);
@@ -269,11 +278,12 @@
 
     void takeTurn()
     {
-        const MonotonicTime until = now_ + turnBudget;
+        const MonotonicTime until =
+            now_ + turnBudget(std::chrono::duration_cast<Microseconds>(now_ - turnEnded_));
         while (now_ < until) {
             const std::optional<CallQueue::Turn> turn = queue_.next(now_);
             if (!turn) {
-                return;
+                break;
             }
             const auto found = waiting_.find(turn->id);
             const AttemptPtr made = found->second;
@@ -282,6 +292,7 @@
                 handle(made);
             }
         }
+        turnEnded_ = now_;
     }
 
     void handle(const AttemptPtr &made)
@@ -305,8 +316,10 @@
 
     double load_;
     bool ordered_;
+    Milliseconds round_;
     std::mt19937 random_ {20261204};
     MonotonicTime now_ = start();
+    MonotonicTime turnEnded_ = start();
     std::multimap<MonotonicTime, std::function<void()>> events_;
     std::deque<Item> inbox_;
     CallQueue queue_;
@@ -359,4 +372,13 @@
     CHECK(outcome.sentPerAttempt > 2);
 }
 
+TEST_CASE("rounds that take most of the thread's time leave a part of it for calls")
+{
+    constexpr Milliseconds longRound {200};
+    const Outcome outcome = Replay {1, true, longRound}.play();
+    INFO(describe(outcome));
+    CHECK(outcome.goodput >= 0.1 * capacity);
+    CHECK(outcome.refusedAtOnce >= 0.95);
+}
+
 } // namespace crocusmill
