A submission that no leader was found for is refused as not run, not left as unknown

Change: a call that every VM it was sent to has passed on by a redirect was not carried out, and is answered so at the caller's deadline. Pauses between tries double up to 0.2 s. Evidence: test/clientservice.cpp.

--- a/src/services/clientservice.cpp
+++ b/src/services/clientservice.cpp
@@ -25,8 +25,12 @@
 {
 
 constexpr Milliseconds retryPause {50};
+/// It doubles up to this while nobody leads.
+constexpr Milliseconds mostRetryPause {200};
 /// A commit takes 20 to 60 ms; a VM that is silent this long may lead no more.
 constexpr Milliseconds silence {200};
+/// Without a leader there is one again after about this long.
+constexpr Milliseconds election {1'000};
 /// Up to this is added to the time after which a refused call may come again, so that those that
 /// were refused together do not come back together.
 constexpr Milliseconds mostRetryJitter {1'000};
@@ -103,6 +107,7 @@
         std::set<NodeAddress> asked; // since the last pause
         std::set<NodeAddress> open; // those of them that have not answered yet
         std::optional<NodeAddress> first; // of those asked
+        Milliseconds nextPause {retryPause};
         bool outcomeUnknown = false; // a VM that it was sent to may have carried it out
         bool answered = false;
     };
@@ -143,8 +148,12 @@
             return;
         }
         const Milliseconds left = timeLeft(*pending);
-        if (stopping_ || left <= Milliseconds {0}) {
-            answer(pending, stopping_ ? PeerError::Stopping : PeerError::TimedOut);
+        if (stopping_) {
+            answer(pending, PeerError::Stopping);
+            return;
+        }
+        if (left <= Milliseconds {0}) {
+            answer(pending, unled(*pending));
             return;
         }
         pending->asked.clear();
@@ -160,6 +169,15 @@
         }
     }
 
+    /// No leader was found in time. What was only ever redirected was not carried out.
+    Result<Reply> unled(const Pending &pending)
+    {
+        if (isLimited(pending.callClass) && !pending.outcomeUnknown && pending.open.empty()) {
+            return refusal(election);
+        }
+        return PeerError::TimedOut;
+    }
+
     static Milliseconds timeLeft(const Pending &pending)
     {
         return std::chrono::duration_cast<Milliseconds>(pending.until - monotonicNow());
@@ -312,7 +330,8 @@
     void again(const PendingPtr &pending)
     {
         pending->silence.cancel();
-        pending->pause.expires_after(retryPause);
+        pending->pause.expires_after(pending->nextPause);
+        pending->nextPause = std::min(pending->nextPause * 2, mostRetryPause);
         pending->pause.async_wait(
             [this, pending](const boost::system::error_code & /*error*/) { attempt(pending); });
     }
--- a/test/clientservice.cpp
+++ b/test/clientservice.cpp
@@ -265,6 +265,18 @@
     CHECK(isRefused(finder.callMany(1, submission, patience).front()));
 }
 
+TEST_CASE("a submission that no leader was found for was not run")
+{
+    Finder finder;
+    for (const std::uint16_t replica : {1, 2, 3}) {
+        finder.peers_->answer(vm(replica), Redirect {});
+    }
+    const Call submission {graphCall(GraphAction::Submit, "a")};
+    constexpr Milliseconds shortPatience {400};
+    CHECK(isRefused(finder.callMany(1, submission, shortPatience).front()));
+    CHECK_FALSE(finder.call(shortPatience).has_value());
+}
+
 TEST_CASE("questions about one job that are open at a time share a call")
 {
     Finder finder;
