A benchmark of calls to workers, heartbeats, log lines and metrics

Processor time of the calling side, with the part outside the kernel, against a stand-in over loopback.

--- /dev/null
+++ b/bench/workercalls.cpp
@@ -0,0 +1,354 @@
+/// Processor time of calls to workers, of heartbeats served, of log lines and of metrics.
+///
+/// Run as `workercalls > /dev/null`: log lines go to standard output, the figures to standard error.
+/// `workercalls PART` runs one part, for example under a counter of system calls.
+
+#include "platform/services.h"
+#include "src/net/httpserver.h"
+#include "src/net/log.h"
+#include "src/services/interfaces.h"
+#include "src/services/workerlink.h"
+
+#include <array>
+#include <cstdio>
+#include <functional>
+#include <sys/resource.h>
+#include <thread>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+constexpr std::uint32_t mostAtOnce = 4;
+constexpr std::uint32_t callsMeasured = 40'000;
+constexpr Milliseconds callLimit {5'000};
+
+const std::string startAnswer = R"({"clock_ms":482113,"born":1781102616921})";
+const std::string heartbeatBody =
+    R"({"service":"huvo11a","addr":"10.128.0.9:8080","zone":"lahore-a","version":"v1","slots":8,)"
+    R"("state":"ready","cold_left_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},)"
+    R"("labels":["a","r1-3"],"clock_ms":482113,"seq":4,"born":1781102616921})";
+
+/// What a worker lists that runs a dozen tasks, one of which has ended.
+std::string holdAnswer()
+{
+    constexpr int tasks = 12;
+    std::string rows;
+    for (int task = 0; task < tasks; ++task) {
+        rows += std::string {rows.empty() ? "" : ","} + R"(["5c0e7a21d94b36f8.0.1.)"
+            + std::to_string(task) + R"(",2,"00000bb87a21d94b",41,730])";
+    }
+    return R"({"clock_ms":482113,"born":1781102616921,"running":[)" + rows
+        + R"(],"finished":[[58,"5c0e7a21d94b36f8.0.1.99",1,"done",""]]})";
+}
+
+/// Processor time of a thread or of the process, and the part of it outside the kernel.
+struct Spent
+{
+    double all = 0; // in microseconds
+    double user = 0; // in microseconds
+
+    Spent &operator+=(const Spent &other)
+    {
+        all += other.all;
+        user += other.user;
+        return *this;
+    }
+};
+
+Spent spentBy(int who)
+{
+    constexpr double perSecond = 1e6;
+    rusage usage {};
+    getrusage(who, &usage);
+    const auto microseconds = [](const timeval &time) {
+        return static_cast<double>(time.tv_sec) * perSecond + static_cast<double>(time.tv_usec);
+    };
+    return {microseconds(usage.ru_utime) + microseconds(usage.ru_stime),
+        microseconds(usage.ru_utime)};
+}
+
+void report(const char *what, const Spent &before, const Spent &after, std::uint32_t times)
+{
+    std::fprintf(stderr, "%-24s %7.2f us of processor time each, %7.2f of it outside the kernel\n",
+        what, (after.all - before.all) / times, (after.user - before.user) / times);
+}
+
+/// Answers every request alike, on a thread of its own.
+class StandInWorker final : public HttpHandler
+{
+public:
+    StandInWorker()
+        : server_({&context_}, HttpLimits {}, *this)
+        , hold_(holdAnswer())
+    {
+    }
+
+    ~StandInWorker() override
+    {
+        context_.stop();
+        thread_.join();
+    }
+
+    StandInWorker(const StandInWorker &) = delete;
+    StandInWorker &operator=(const StandInWorker &) = delete;
+
+    bool listen(const NodeAddress &address)
+    {
+        const bool listens = server_.listen(address).has_value();
+        thread_ = std::thread {[this]() { context_.run(); }};
+        return listens;
+    }
+
+    asio::awaitable<HttpResponse> handle(
+        HttpRequest request, std::shared_ptr<CallerWatch> /*watch*/) override
+    {
+        const bool holds = request.target() == "/hold";
+        co_return jsonResponse(http::status::ok, holds ? hold_ : startAnswer);
+    }
+
+private:
+    asio::io_context context_ {1};
+    HttpServer server_;
+    std::string hold_;
+    std::thread thread_;
+};
+
+StartOrder startOrder()
+{
+    constexpr std::size_t payloadBytes = 300;
+    StartOrder order;
+    order.task = {GraphId {"5c0e7a21d94b36f8"}, 0, 1, 17};
+    order.run = RunNumber {2};
+    order.payload = std::string(payloadBytes, 'x');
+    order.deadline = WorkerTime {486'000};
+    order.fence = FencingToken {7};
+    return order;
+}
+
+/// Calls of one kind in a chain for each of a few workers.
+class Calls
+{
+public:
+    using Begin = std::function<void(WorkerLink &, const WorkerEndpoint &, std::function<void()>)>;
+
+    explicit Calls(Begin begin)
+        : begin_(std::move(begin))
+    {
+    }
+
+    void measure(const char *what)
+    {
+        std::array<StandInWorker, mostAtOnce> workers;
+        constexpr std::uint16_t firstPort = 28'461;
+        std::uint16_t port = firstPort;
+        for (StandInWorker &worker : workers) {
+            endpoints_.push_back({WorkerId {"i-7f3a91c2"}, Incarnation {"1781102616921"},
+                NodeAddress {"127.0.0.1", port++}});
+            if (!worker.listen(endpoints_.back().address)) {
+                std::fprintf(stderr, "cannot listen\n");
+                return;
+            }
+        }
+        const std::unique_ptr<Service> service = platform::makeWorkerCalls(parts_);
+        link_ = dynamic_cast<WorkerLink *>(service.get());
+        for (const WorkerEndpoint &endpoint : endpoints_) {
+            next(endpoint);
+        }
+        const Spent before = spentBy(RUSAGE_THREAD);
+        control_.run();
+        report(what, before, spentBy(RUSAGE_THREAD), begun_);
+    }
+
+private:
+    void next(const WorkerEndpoint &endpoint)
+    {
+        if (begun_ < callsMeasured) {
+            ++begun_;
+            begin_(*link_, endpoint, [this, &endpoint]() { next(endpoint); });
+            return;
+        }
+        if (++finished_ == mostAtOnce) {
+            control_.stop();
+        }
+    }
+
+    Begin begin_;
+    asio::io_context control_ {1};
+    Metrics metrics_;
+    platform::Parts parts_ {control_, {}, metrics_, {}};
+    std::vector<WorkerEndpoint> endpoints_;
+    WorkerLink *link_ = nullptr;
+    std::uint32_t begun_ = 0;
+    std::uint32_t finished_ = 0;
+};
+
+void measureStarts()
+{
+    Calls calls {[order = startOrder()](WorkerLink &link, const WorkerEndpoint &worker,
+                     const std::function<void()> &done) {
+        link.start(worker, order, callLimit,
+            [done](StartOutcome outcome, std::optional<WorkerTime> /*clock*/) {
+                if (outcome != StartOutcome::Started) {
+                    std::fprintf(stderr, "a start failed\n");
+                }
+                done();
+            });
+    }};
+    calls.measure("start");
+}
+
+void measureHolds()
+{
+    Calls calls {
+        [](WorkerLink &link, const WorkerEndpoint &worker, const std::function<void()> &done) {
+            HoldOrder order;
+            order.fence = FencingToken {7};
+            order.acknowledged = EndNumber {57};
+            order.deadline = WorkerTime {486'000};
+            order.wait = Milliseconds {1'000};
+            link.hold(worker, order, callLimit, [done](const HoldOutcome &outcome) {
+                if (outcome.error || outcome.report.ended.size() != 1) {
+                    std::fprintf(stderr, "a hold failed\n");
+                }
+                done();
+            });
+        }};
+    calls.measure("hold");
+}
+
+/// Stands for the leader: takes every heartbeat.
+class QuickLeader final : public PassiveService, public LeaderClient
+{
+public:
+    std::string_view name() const override
+    {
+        return names::client;
+    }
+
+    void call(Call /*call*/, Milliseconds /*timeout*/, ReplyHandler done) override
+    {
+        HeartbeatReply reply;
+        reply.leader = NodeAddress {"127.0.0.1", 1};
+        done(Reply {reply});
+    }
+
+    void learnReplicas(const std::vector<NodeAddress> & /*replicas*/) override { }
+    void learnSeeds(const std::vector<NodeAddress> & /*seeds*/) override { }
+};
+
+/// Heartbeats one after another over one connection.
+void sendHeartbeats(asio::io_context &context, const NodeAddress &to)
+{
+    boost::system::error_code error;
+    Tcp::socket socket {context};
+    socket.connect({asio::ip::make_address(to.ip), to.port}, error);
+    HttpRequest request {http::verb::post, "/Instances.Heartbeat/i-7f3a91c2", 11};
+    request.set(http::field::host, "10.0.0.4:8161");
+    request.set(http::field::content_type, "application/json");
+    request.body() = heartbeatBody;
+    request.prepare_payload();
+    beast::flat_buffer buffer;
+    for (std::uint32_t i = 0; i < callsMeasured && !error; ++i) {
+        HttpResponse response;
+        http::write(socket, request, error);
+        http::read(socket, buffer, response, error);
+        if (response.result() != http::status::ok) {
+            std::fprintf(stderr, "a heartbeat failed\n");
+        }
+    }
+}
+
+void measureHeartbeats()
+{
+    constexpr std::uint16_t port = 28'460;
+    asio::io_context control {1};
+    asio::io_context traffic {1};
+    Metrics metrics;
+    Kernel kernel;
+    platform::AdapterSettings settings;
+    settings.control = NodeAddress {"127.0.0.1", port};
+    kernel.add(std::make_unique<QuickLeader>());
+    kernel.add(platform::makeControl({control, {&traffic}, metrics, {}}, settings));
+    if (!kernel.start()) {
+        std::fprintf(stderr, "cannot listen\n");
+        return;
+    }
+    const asio::executor_work_guard<asio::io_context::executor_type> work =
+        asio::make_work_guard(traffic);
+    const asio::executor_work_guard<asio::io_context::executor_type> more =
+        asio::make_work_guard(control);
+    std::array<Spent, 2> spent;
+    const auto serve = [](asio::io_context &context, Spent &sum) {
+        const Spent before = spentBy(RUSAGE_THREAD);
+        context.run();
+        const Spent after = spentBy(RUSAGE_THREAD);
+        sum = {after.all - before.all, after.user - before.user};
+    };
+    std::thread controlThread {serve, std::ref(control), std::ref(spent[0])};
+    std::thread trafficThread {serve, std::ref(traffic), std::ref(spent[1])};
+    asio::io_context own;
+    sendHeartbeats(own, *settings.control);
+    control.stop();
+    traffic.stop();
+    controlThread.join();
+    trafficThread.join();
+    spent[0] += spent[1];
+    report("heartbeat served", {}, spent[0], callsMeasured);
+}
+
+void measureLog()
+{
+    constexpr std::uint32_t lines = 200'000;
+    constexpr std::uint32_t burst = 20;
+    LogSettings settings;
+    settings.output = LogOutput::StandardOutput;
+    startLog(settings, VmId {"core-1"});
+    const Spent before = spentBy(RUSAGE_SELF);
+    for (std::uint32_t line = 0; line < lines; ++line) {
+        logInfo("run.started",
+            {{"task", "5c0e7a21d94b36f8.0.1.17"}, {"run", std::uint64_t {2}},
+                {"worker", "i-7f3a91c2"}});
+        if (line % burst == 0) {
+            std::this_thread::sleep_for(Milliseconds {1});
+        }
+    }
+    flushLog();
+    report("log line", before, spentBy(RUSAGE_SELF), lines);
+}
+
+void measureMetrics()
+{
+    constexpr std::uint32_t times = 1'000'000;
+    Metrics metrics;
+    const Spent before = spentBy(RUSAGE_THREAD);
+    for (std::uint32_t i = 0; i < times; ++i) {
+        metrics.count({"worker_calls_total", "call=\"/hold\",status=\"200\""});
+        metrics.observe({"worker_call_seconds", "call=\"/hold\""}, Microseconds {i % 1'000});
+    }
+    report("count and observation", before, spentBy(RUSAGE_THREAD), times);
+}
+
+void run(std::string_view part)
+{
+    const std::array<std::pair<std::string_view, void (*)()>, 5> parts {{{"starts", measureStarts},
+        {"holds", measureHolds}, {"heartbeats", measureHeartbeats}, {"metrics", measureMetrics},
+        {"log", measureLog}}};
+    for (const std::pair<std::string_view, void (*)()> &known : parts) {
+        if (part.empty() || part == known.first) {
+            known.second();
+        }
+    }
+}
+
+} // namespace
+
+} // namespace crocusmill
+
+int main(int argc, char **argv)
+{
+    crocusmill::run(argc > 1 ? argv[1] : "");
+    return 0;
+}
