Calls to workers: one write, one parser without fields, one timer for all deadlines

Each call built a message object field by field, spawned a coroutine, set a timer an operation, looked at the kept connection with a recv and read the answer into a container of fields and a JSON document on the heap.

CallClient sends a request as one string with one write, keeps a read pending on each connection, reads answers with Beast's parser without a container, and has one timer for the deadlines of all calls. A kept connection that fails before a byte was written is passed over; after that nothing is sent again, and a call that may have arrived is unanswered as before.

--- a/bench/workercalls.cpp
+++ b/bench/workercalls.cpp
@@ -1,7 +1,7 @@
 /// Processor time of calls to workers, of heartbeats served, of log lines and of metrics.
 ///
-/// Run as `workercalls > /dev/null`: log lines go to standard output, the figures to standard error.
-/// `workercalls PART` runs one part, for example under a counter of system calls.
+/// Run as `workercalls > /dev/null`: log lines go to standard output, the figures to standard
+/// error. `workercalls PART` runs one part, for example under a counter of system calls.
 
 #include "platform/services.h"
 #include "src/net/httpserver.h"
@@ -66,8 +66,8 @@
     const auto microseconds = [](const timeval &time) {
         return static_cast<double>(time.tv_sec) * perSecond + static_cast<double>(time.tv_usec);
     };
-    return {microseconds(usage.ru_utime) + microseconds(usage.ru_stime),
-        microseconds(usage.ru_utime)};
+    return {
+        microseconds(usage.ru_utime) + microseconds(usage.ru_stime), microseconds(usage.ru_utime)};
 }
 
 void report(const char *what, const Spent &before, const Spent &after, std::uint32_t times)
@@ -98,7 +98,9 @@
     bool listen(const NodeAddress &address)
     {
         const bool listens = server_.listen(address).has_value();
-        thread_ = std::thread {[this]() { context_.run(); }};
+        thread_ = std::thread {[this]() {
+            context_.run();
+        }};
         return listens;
     }
 
@@ -235,8 +237,12 @@
         done(Reply {reply});
     }
 
-    void learnReplicas(const std::vector<NodeAddress> & /*replicas*/) override { }
-    void learnSeeds(const std::vector<NodeAddress> & /*seeds*/) override { }
+    void learnReplicas(const std::vector<NodeAddress> & /*replicas*/) override
+    {
+    }
+    void learnSeeds(const std::vector<NodeAddress> & /*seeds*/) override
+    {
+    }
 };
 
 /// Heartbeats one after another over one connection.
@@ -333,9 +339,9 @@
 
 void run(std::string_view part)
 {
-    const std::array<std::pair<std::string_view, void (*)()>, 5> parts {{{"starts", measureStarts},
-        {"holds", measureHolds}, {"heartbeats", measureHeartbeats}, {"metrics", measureMetrics},
-        {"log", measureLog}}};
+    const std::array<std::pair<std::string_view, void (*)()>, 5> parts {
+        {{"starts", measureStarts}, {"holds", measureHolds}, {"heartbeats", measureHeartbeats},
+            {"metrics", measureMetrics}, {"log", measureLog}}};
     for (const std::pair<std::string_view, void (*)()> &known : parts) {
         if (part.empty() || part == known.first) {
             known.second();
--- /dev/null
+++ b/src/net/callclient.cpp
@@ -0,0 +1,458 @@
+/// Calls over kept connections.
+
+#include "src/net/callclient.h"
+
+#include "src/net/answerparser.h"
+
+#include <algorithm>
+#include <array>
+#include <sys/socket.h>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+/// A connection that was used so shortly before is taken to be open still unless the loop has seen
+/// otherwise; an older one is looked at first.
+constexpr Milliseconds trustedIdle {100};
+constexpr std::size_t readBytes = 2'048;
+
+/// Spares the type-erased executor of the default socket.
+using CallSocket = asio::basic_stream_socket<Tcp, asio::io_context::executor_type>;
+
+/// Nothing to read and not closed.
+bool isQuiet(CallSocket &socket)
+{
+    char byte = 0;
+    const ssize_t size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+/// One connection and the call that it carries, if any.
+class CallClient::Connection final : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(CallClient &client, NodeAddress to)
+        : owner_(client.self_)
+        , to_(std::move(to))
+        , socket_(client.context_)
+    {
+    }
+
+    const NodeAddress &to() const
+    {
+        return to_;
+    }
+
+    MonotonicTime deadline() const
+    {
+        return deadline_;
+    }
+
+    /// Where it stands among the busy ones.
+    std::size_t place() const
+    {
+        return place_;
+    }
+
+    void setPlace(std::size_t place)
+    {
+        place_ = place;
+    }
+
+    bool isUsable(MonotonicTime now)
+    {
+        return socket_.is_open() && (now - idleSince_ < trustedIdle || isQuiet(socket_));
+    }
+
+    void begin(std::string request, MonotonicTime deadline, Done done, ByteCount mostAnswer)
+    {
+        request_ = std::move(request);
+        deadline_ = deadline;
+        done_ = std::move(done);
+        parser_.emplace(mostAnswer);
+        sent_ = 0;
+    }
+
+    /// Connects and then sends; `limit` is for the connection alone.
+    void connect(MonotonicTime limit)
+    {
+        callDeadline_ = deadline_;
+        deadline_ = std::min(deadline_, limit);
+        boost::system::error_code error;
+        const Tcp::endpoint endpoint {asio::ip::make_address(to_.ip, error), to_.port};
+        if (error) {
+            asio::post(socket_.get_executor(),
+                [self = shared_from_this()]() { self->finish(HttpSending::NotSent); });
+            return;
+        }
+        socket_.async_connect(
+            endpoint, [self = shared_from_this()](const boost::system::error_code &failed) {
+                self->connected(failed);
+            });
+    }
+
+    /// False when no byte can be written; the call can go elsewhere.
+    bool write()
+    {
+        boost::system::error_code error;
+        sent_ = socket_.write_some(asio::buffer(request_), error);
+        if (error && error != asio::error::would_block) {
+            return false;
+        }
+        if (sent_ < request_.size()) {
+            writeRest();
+        }
+        return true;
+    }
+
+    std::string takeRequest()
+    {
+        return std::move(request_);
+    }
+
+    Done takeDone()
+    {
+        return std::move(done_);
+    }
+
+    void readOn()
+    {
+        socket_.async_read_some(asio::buffer(input_),
+            [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
+                self->received(error, size);
+            });
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        socket_.close(ignored);
+    }
+
+    void expire()
+    {
+        finish(isConnected_ ? HttpSending::TimedOut : HttpSending::NotSent);
+    }
+
+private:
+    bool isBusy() const
+    {
+        return static_cast<bool>(done_);
+    }
+
+    void connected(const boost::system::error_code &error)
+    {
+        if (!isBusy() || *owner_ == nullptr) {
+            return;
+        }
+        if (error || std::chrono::steady_clock::now() >= callDeadline_) {
+            finish(HttpSending::NotSent);
+            return;
+        }
+        isConnected_ = true;
+        deadline_ = callDeadline_;
+        (*owner_)->arm(deadline_);
+        boost::system::error_code ignored;
+        socket_.set_option(Tcp::no_delay(true), ignored);
+        socket_.non_blocking(true, ignored);
+        if (!write()) {
+            finish(HttpSending::NotSent);
+            return;
+        }
+        readOn();
+    }
+
+    void writeRest()
+    {
+        const asio::const_buffer rest = asio::buffer(request_) + sent_;
+        asio::async_write(socket_, rest,
+            [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
+                self->sent_ += size;
+                if (error && self->isBusy()) {
+                    self->finish(self->sent_ == 0 ? HttpSending::NotSent : HttpSending::Broken);
+                }
+            });
+    }
+
+    void received(const boost::system::error_code &error, std::size_t size)
+    {
+        if (*owner_ == nullptr) {
+            return;
+        }
+        if (!isBusy()) {
+            close(); // closed by its peer, or bytes that nobody asked for
+            (*owner_)->dropIdle(shared_from_this());
+            return;
+        }
+        if (error) {
+            finish(HttpSending::Broken);
+            return;
+        }
+        if (!parse(size)) {
+            return;
+        }
+        while (size == input_.size()) { // more may lie there already
+            boost::system::error_code failed;
+            size = socket_.read_some(asio::buffer(input_), failed);
+            if (failed == asio::error::would_block) {
+                break;
+            }
+            if (failed) {
+                finish(HttpSending::Broken);
+                return;
+            }
+            if (!parse(size)) {
+                return;
+            }
+        }
+        readOn();
+    }
+
+    /// Takes what was read into input_; false when the call has ended with it.
+    bool parse(std::size_t size)
+    {
+        std::string_view bytes {input_.data(), size};
+        if (!unparsed_.empty()) {
+            unparsed_ += bytes;
+            bytes = unparsed_;
+        }
+        boost::system::error_code error;
+        const std::size_t used = parser_->put(asio::buffer(bytes.data(), bytes.size()), error);
+        const bool isPartial = error == http::error::need_more;
+        if (error && !isPartial) {
+            finish(error == http::error::body_limit ? HttpSending::TooLarge : HttpSending::Broken);
+            return false;
+        }
+        // An answer without a length ends with its connection, so a cut can't be told from its end.
+        if (parser_->is_header_done() && !parser_->isDelimited()) {
+            finish(HttpSending::Broken);
+            return false;
+        }
+        if (parser_->is_done()) {
+            isClean_ = used == bytes.size() && sent_ == request_.size() && parser_->keep_alive();
+            finish(HttpSending::Answered);
+            return false;
+        }
+        unparsed_ = std::string {bytes.substr(used)};
+        return true;
+    }
+
+    void finish(HttpSending kind)
+    {
+        CallClient *client = *owner_;
+        if (client == nullptr) {
+            return;
+        }
+        const ConnectionPtr self = shared_from_this();
+        HttpOutcome outcome;
+        outcome.kind = kind;
+        if (kind == HttpSending::Answered) {
+            outcome.response.result(parser_->status());
+            outcome.response.body() = parser_->takeBody();
+        }
+        const Done done = std::exchange(done_, nullptr);
+        client->leave(*this);
+        unparsed_.clear();
+        if (kind == HttpSending::Answered && isClean_) {
+            idleSince_ = std::chrono::steady_clock::now();
+            readOn();
+            client->keepIdle(self);
+        } else {
+            close();
+        }
+        if (kind == HttpSending::TimedOut) {
+            client->forget(to_); // the others may have gone silent with this one
+        }
+        done(outcome);
+    }
+
+    std::shared_ptr<CallClient *> owner_;
+    NodeAddress to_;
+    CallSocket socket_;
+    std::array<char, readBytes> input_ {};
+    std::string unparsed_; // the beginning of a header
+    std::string request_;
+    std::size_t sent_ = 0; // bytes of the request
+    std::optional<AnswerParser> parser_;
+    Done done_; // empty: idle, or closed
+    MonotonicTime deadline_; // of what is under way
+    MonotonicTime callDeadline_; // of the call, while the connection is made
+    MonotonicTime idleSince_;
+    std::size_t place_ = 0;
+    bool isConnected_ = false;
+    bool isClean_ = false; // the whole answer and nothing behind it; it may be used again
+};
+
+std::size_t CallClient::AddressHash::operator()(const NodeAddress &address) const
+{
+    return std::hash<std::string> {}(address.ip) ^ std::hash<std::uint16_t> {}(address.port);
+}
+
+CallClient::CallClient(asio::io_context &context, HttpClientLimits limits)
+    : context_(context)
+    , limits_(limits)
+    , timer_(context)
+    , self_(std::make_shared<CallClient *>(this))
+{
+}
+
+CallClient::~CallClient()
+{
+    *self_ = nullptr;
+    for (const ConnectionPtr &connection : busy_) {
+        connection->close();
+    }
+    for (const auto &known : idle_) {
+        for (const ConnectionPtr &connection : known.second) {
+            connection->close();
+        }
+    }
+}
+
+void CallClient::send(const NodeAddress &to, std::string request, MonotonicTime deadline, Done done)
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    if (now >= deadline) {
+        asio::post(context_, [done = std::move(done)]() {
+            done(HttpOutcome {HttpSending::NotSent, {}});
+        });
+        return;
+    }
+    while (const ConnectionPtr connection = takeIdle(to)) {
+        if (!connection->isUsable(now)) {
+            connection->close();
+            continue;
+        }
+        connection->begin(std::move(request), deadline, std::move(done), limits_.answerBytes);
+        if (connection->write()) {
+            enter(connection);
+            return;
+        }
+        request = connection->takeRequest();
+        done = connection->takeDone();
+        connection->close();
+    }
+    const ConnectionPtr connection = std::make_shared<Connection>(*this, to);
+    connection->begin(std::move(request), deadline, std::move(done), limits_.answerBytes);
+    connection->connect(now + limits_.connect);
+    enter(connection);
+}
+
+void CallClient::forget(const NodeAddress &address)
+{
+    const auto known = idle_.find(address);
+    if (known == idle_.end()) {
+        return;
+    }
+    for (const ConnectionPtr &connection : known->second) {
+        connection->close();
+    }
+    idle_.erase(known);
+}
+
+CallClient::ConnectionPtr CallClient::takeIdle(const NodeAddress &to)
+{
+    const auto known = idle_.find(to);
+    if (known == idle_.end() || known->second.empty()) {
+        return nullptr;
+    }
+    ConnectionPtr connection = std::move(known->second.back());
+    known->second.pop_back();
+    return connection;
+}
+
+void CallClient::keepIdle(const ConnectionPtr &connection)
+{
+    std::vector<ConnectionPtr> &idle = idle_[connection->to()];
+    idle.push_back(connection);
+    if (idle.size() > limits_.idlePerAddress) {
+        idle.front()->close();
+        idle.erase(idle.begin());
+    }
+}
+
+void CallClient::dropIdle(const ConnectionPtr &connection)
+{
+    const auto known = idle_.find(connection->to());
+    if (known != idle_.end()) {
+        std::erase(known->second, connection);
+    }
+}
+
+void CallClient::enter(const ConnectionPtr &connection)
+{
+    connection->setPlace(busy_.size());
+    busy_.push_back(connection);
+    arm(connection->deadline());
+}
+
+void CallClient::leave(Connection &connection)
+{
+    const std::size_t place = connection.place();
+    std::swap(busy_[place], busy_.back());
+    busy_[place]->setPlace(place);
+    busy_.pop_back();
+}
+
+void CallClient::arm(MonotonicTime deadline)
+{
+    if (deadline >= armedFor_) {
+        return;
+    }
+    armedFor_ = deadline;
+    timer_.expires_at(deadline);
+    timer_.async_wait([self = self_](const boost::system::error_code &error) {
+        if (!error && *self != nullptr) {
+            (*self)->sweep();
+        }
+    });
+}
+
+void CallClient::sweep()
+{
+    armedFor_ = MonotonicTime::max();
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    MonotonicTime next = MonotonicTime::max();
+    std::vector<ConnectionPtr> late;
+    for (const ConnectionPtr &connection : busy_) {
+        if (connection->deadline() <= now) {
+            late.push_back(connection);
+        } else {
+            next = std::min(next, connection->deadline());
+        }
+    }
+    if (next != MonotonicTime::max()) {
+        arm(next);
+    }
+    for (const ConnectionPtr &connection : late) {
+        connection->expire();
+    }
+}
+
+std::string postText(
+    const NodeAddress &to, std::string_view target, std::string_view header, std::string_view body)
+{
+    constexpr std::size_t fixedBytes = 128;
+    std::string text;
+    text.reserve(fixedBytes + to.ip.size() + target.size() + header.size() + body.size());
+    text += "POST ";
+    text += target;
+    text += " HTTP/1.1\r\nHost: ";
+    text += to.ip;
+    text += ':';
+    text += std::to_string(to.port);
+    text += "\r\nContent-Type: application/json\r\n";
+    text += header;
+    text += "Content-Length: ";
+    text += std::to_string(body.size());
+    text += "\r\n\r\n";
+    text += body;
+    return text;
+}
+
+} // namespace crocusmill
