Supervisor of runs: takes its clock from its parts

Answers were stamped with the real clock, whatever time a round was given, so that a test could not say when an answer was handled. No change of behaviour.

--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -1,6 +1,5 @@
 /// Holds: leases renewed, and what workers list taken in.
 
-#include "src/net/clock.h"
 #include "src/net/log.h"
 #include "src/services/runsupervisor.h"
 
@@ -49,7 +48,7 @@
         return;
     }
     Worker &worker = found->second;
-    const MonotonicTime now = monotonicNow();
+    const MonotonicTime now = parts_.clock();
     worker.holding = false;
     if (outcome.clock) {
         worker.clock.observed(*outcome.clock, now);
@@ -127,7 +126,7 @@
     }
     endRuns(absent, OverBy::NotListed);
     if (ended.empty()) {
-        hold(id, worker, monotonicNow());
+        hold(id, worker, parts_.clock());
     } else {
         // The next hold acknowledges these ends, so it waits for their record.
         worker.holding = true;
@@ -145,12 +144,12 @@
     }
     if (run->stage == Stage::Adopted || run->stage == Stage::Starting) {
         run->stage = Stage::Running;
-        run->settledAt = monotonicNow();
+        run->settledAt = parts_.clock();
     }
     if (run->stage == Stage::Running) {
         watchProgress(id, *run, listed);
     } else if (run->stage == Stage::Stopping && run->settledAt
-        && monotonicNow() - *run->settledAt > parts_.times.orderLimit * 2) {
+        && parts_.clock() - *run->settledAt > parts_.times.orderLimit * 2) {
         run->settledAt.reset(); // the stop did not take: order it again
     }
 }
@@ -184,7 +183,7 @@
 /// Stops a run that stands still, so that it is started elsewhere.
 void RunSupervisor::watchProgress(const WorkerId &id, Run &run, const ListedRun &listed)
 {
-    const MonotonicTime now = monotonicNow();
+    const MonotonicTime now = parts_.clock();
     if (run.progressed == MonotonicTime {} || listed.percent != run.percent) {
         run.percent = listed.percent;
         run.progressed = now;
@@ -220,7 +219,7 @@
     if (end.end == RunEnd::Succeeded) {
         health_.succeeded(id);
     } else if (end.end == RunEnd::Failed) {
-        health_.failed(id, end.task.graph, monotonicNow());
+        health_.failed(id, end.task.graph, parts_.clock());
     }
 }
 
@@ -235,7 +234,7 @@
     for (const EndList &list : lists) {
         ended.insert(ended.end(), list.ended.begin(), list.ended.end());
     }
-    parts_.propose(EndRuns {ended, wallTimeNow()},
+    parts_.propose(EndRuns {ended, wall_},
         [self = shared_from_this(), lists, open = openAmong(ended)](
             const Result<ApplyReply> &reply) {
             if (!reply) {
@@ -268,7 +267,7 @@
     }
     found->second.holding = false;
     found->second.recorded = std::max(found->second.recorded, list.last);
-    hold(list.worker, found->second, monotonicNow());
+    hold(list.worker, found->second, parts_.clock());
 }
 
 } // namespace crocusmill
--- a/src/services/runlogs.cpp
+++ b/src/services/runlogs.cpp
@@ -1,6 +1,5 @@
 /// What the log says of runs that are over: by which rule, on what evidence and how old it was.
 
-#include "src/net/clock.h"
 #include "src/net/log.h"
 #include "src/services/runsupervisor.h"
 
@@ -74,7 +73,7 @@
 
 void RunSupervisor::logOver(const Run &run, const EndedRun &end, OverBy rule) const
 {
-    const MonotonicTime now = monotonicNow();
+    const MonotonicTime now = parts_.clock();
     const Worker &worker = workers_.at(run.placement.worker);
     logInfo("run.over",
         {{"task", asText(end.task)}, {"run", std::uint64_t {end.run.value()}},
--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -1,6 +1,5 @@
 /// Orders to workers: starts and stops, and what their answers prove.
 
-#include "src/net/clock.h"
 #include "src/net/log.h"
 #include "src/services/runsupervisor.h"
 
@@ -45,7 +44,7 @@
         [self = shared_from_this(), task, number = order.run, id = run.placement.worker](
             StartOutcome outcome, std::optional<WorkerTime> clock) {
             if (clock) {
-                self->workerOf(id).clock.observed(*clock, monotonicNow());
+                self->workerOf(id).clock.observed(*clock, self->parts_.clock());
             }
             self->startAnswered(task, number, id, outcome);
         });
@@ -58,7 +57,7 @@
     if (retired_ || run == nullptr) {
         return;
     }
-    const MonotonicTime now = monotonicNow();
+    const MonotonicTime now = parts_.clock();
     Worker &worker = workerOf(id);
     run->ordering = false;
     run->nextOrder = now + parts_.times.orderPause;
@@ -121,7 +120,7 @@
     if (retired_ || run == nullptr) {
         return;
     }
-    const MonotonicTime now = monotonicNow();
+    const MonotonicTime now = parts_.clock();
     run->ordering = false;
     run->nextOrder = now + parts_.times.orderPause;
     if (outcome == StopOutcome::Answered) {
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -2,7 +2,6 @@
 
 #include "src/services/runsupervisor.h"
 
-#include "src/net/clock.h"
 #include "src/net/log.h"
 
 #include <algorithm>
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include "src/net/clock.h"
 #include "src/services/interfaces.h"
 #include "src/services/workerlink.h"
 
@@ -66,6 +67,7 @@
         SupervisorTimes times;
         /// Something ended: a round is due, which records it, or has room to give away.
         std::function<void()> changed;
+        std::function<MonotonicTime()> clock = monotonicNow;
     };
 
     RunSupervisor(Parts parts, MonotonicTime now);
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -1,6 +1,5 @@
 /// Workers: heard, trusted, gone.
 
-#include "src/net/clock.h"
 #include "src/net/log.h"
 #include "src/services/runsupervisor.h"
 
