A worker that says it leaves is no proof that its runs are over

Callers saw a task start again a second after its worker had said that it leaves, though that worker still ran it or had listed its end: TWICE. Cause: the word was taken for the end of the process. A worker whose word is not acknowledged goes on for seconds, and a leader that is behind does not acknowledge in time. Class: something announced is taken for something that happened.

Runs there are over when nobody listens at its address any more (the connection is refused at once) or when its longest lease has passed; until then it is called, without new leases, so that its ends are still taken in.

--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -19,15 +19,17 @@
 
 void RunSupervisor::hold(const WorkerId &id, Worker &worker, MonotonicTime now)
 {
-    const bool departed = worker.leavesAt && now >= *worker.leavesAt;
-    if (!worker.known || worker.holding || now < worker.nextHold || departed || !mayOrder()) {
+    const bool departed = worker.leavesAt && now >= *worker.leavesAt && worker.runs.empty();
+    if (!worker.known || worker.holding || now < worker.nextHold || departed || worker.gone
+        || !mayOrder()) {
         return;
     }
     HoldOrder order;
     order.fence = parts_.fence;
     order.acknowledged = worker.recorded;
-    // A worker that does not answer is given no more leases, so that its runs are over some day.
-    if (worker.unanswered < unansweredToLapse) {
+    // A worker that does not answer, or leaves, is given no more leases, so that its runs are over
+    // some day.
+    if (worker.unanswered < unansweredToLapse && !worker.leavesAt) {
         order.deadline = lease(worker, now);
     }
     // The first answer is needed at once: what a new leader adopts, and what has room.
@@ -71,6 +73,9 @@
         return;
     }
     if (outcome.error) {
+        worker.gone = worker.gone
+            || (worker.leavesAt && outcome.error == HoldError::NotConnected
+                && now - sent < parts_.times.refusal);
         ++worker.unanswered;
         worker.nextHold = now + holdRetryPause;
         if (worker.unanswered == 1) {
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -47,8 +47,10 @@
     /// How often every run and every worker is looked at. Runs that wait for an order are looked at
     /// in each round.
     Milliseconds sweep {100};
-    /// A worker says that it leaves shortly before its process ends.
+    /// A worker that said that it leaves, and has no runs, is forgotten after this.
     Milliseconds departure {1'000};
+    /// A connection that fails sooner was refused; one that is not answered fails later.
+    Milliseconds refusal {100};
 };
 
 class RunSupervisor : public std::enable_shared_from_this<RunSupervisor>
@@ -145,6 +147,7 @@
         EndNumber recorded; // ends up to this one are in the journal
         std::set<TaskRef> runs;
         std::optional<MonotonicTime> leavesAt; // it said that it leaves
+        bool gone = false; // and nobody listens there any more
         std::uint32_t refusals = 0; // orders refused in a row
         MonotonicTime refusedUntil {};
     };
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -105,6 +105,7 @@
     worker.holding = false;
     worker.nextHold = now;
     worker.leavesAt.reset();
+    worker.gone = false;
     worker.refusals = 0;
     worker.refusedUntil = {};
     health_.forget(heartbeat.id);
@@ -195,8 +196,8 @@
     if (worker.known && !worker.holding && now >= worker.nextHold) {
         hold(id, worker, now);
     }
-    const bool departed = worker.leavesAt && now >= *worker.leavesAt;
-    if (departed || now >= worker.leaseOver) {
+    // Its word that it leaves is no proof: without an acknowledgement it goes on for a while.
+    if (worker.gone || now >= worker.leaseOver) {
         std::vector<EndedRun> lost;
         for (const TaskRef &task : worker.runs) {
             const Run &run = runs_.at(task);
@@ -204,8 +205,9 @@
                 lost.push_back(overAs(run, RunEnd::Lost));
             }
         }
-        endRuns(lost, departed ? OverBy::WorkerLeft : OverBy::LeasePassed);
+        endRuns(lost, worker.gone ? OverBy::WorkerLeft : OverBy::LeasePassed);
     }
+    const bool departed = worker.leavesAt && now >= *worker.leavesAt;
     const bool forgotten = worker.known && worker.runs.empty() && !worker.holding
         && (departed || now - worker.heard > silentWorkerKept);
     if (forgotten) {
--- a/src/services/workerlink.h
+++ b/src/services/workerlink.h
@@ -84,7 +84,12 @@
     std::vector<ListedEnd> ended;
 };
 
-enum class HoldError { Unanswered, OtherIncarnation, Fenced };
+enum class HoldError {
+    Unanswered,
+    NotConnected, // no byte was written: nobody listens there, or no answer to that in time
+    OtherIncarnation,
+    Fenced,
+};
 
 struct HoldOutcome
 {
--- a/test/fakes/simulatedworkers.h
+++ b/test/fakes/simulatedworkers.h
@@ -145,7 +145,7 @@
             Process &process = processes_[id];
             HoldOutcome outcome;
             if (!process.alive || !admit(process, order.fence)) {
-                outcome.error = process.alive ? HoldError::Fenced : HoldError::Unanswered;
+                outcome.error = process.alive ? HoldError::Fenced : HoldError::NotConnected;
                 answer<HoldOutcome>(process, mute, reply, outcome);
                 return;
             }
