An unknown outcome of a record is settled, and no run is ordered meanwhile

Callers saw jobs that were accepted and never went on (LOST). Cause: when a leader is behind, the record of a placement takes longer than a proposal may; its outcome is unknown, and the supervisor kept the room reserved for as long as it led, neither starting the task nor letting it be placed anew. Class: unknown is taken for no.

Ends are recorded again until that is known, and their runs are not ordered meanwhile.

--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -292,6 +292,8 @@
             supervisor_->start(task, ticket, now);
         } else if (known) {
             supervisor_->cancelReservation(task);
+        } else {
+            supervisor_->withdraw(task);
         }
     }
     if (!known) {
--- a/src/services/runlogs.cpp
+++ b/src/services/runlogs.cpp
@@ -67,6 +67,8 @@
         return "start_refused";
     case OverBy::WorkerReplaced:
         return "worker_replaced";
+    case OverBy::NeverOrdered:
+        return "never_ordered";
     }
     return "unknown";
 }
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -85,11 +85,19 @@
     }
 }
 
+void RunSupervisor::withdraw(const TaskRef &task)
+{
+    const auto found = runs_.find(task);
+    if (found != runs_.end() && found->second.stage == Stage::Reserved) {
+        endRuns({overAs(found->second, RunEnd::NotStarted)}, OverBy::NeverOrdered);
+    }
+}
+
 void RunSupervisor::start(
     const TaskRef &task, const std::optional<Ticket> &ticket, MonotonicTime now)
 {
     const auto found = runs_.find(task);
-    if (found == runs_.end() || found->second.stage != Stage::Reserved) {
+    if (found == runs_.end() || found->second.stage != Stage::Reserved || found->second.ending) {
         return;
     }
     setStage(found->second, Stage::Starting);
@@ -142,18 +150,23 @@
             logOver(*run, end, rule);
         }
     }
-    if (fresh.empty()) {
-        return;
+    if (!fresh.empty()) {
+        recordOver(fresh);
     }
-    parts_.propose(EndRuns {fresh, wall_},
-        [self = shared_from_this(), fresh](const Result<ApplyReply> &reply) {
-            for (const EndedRun &end : fresh) {
-                Run *run = self->findRun(end.task, end.run);
-                if (reply) {
-                    self->release(end);
-                } else if (run != nullptr) {
-                    run->ending = false; // unknown: the same is found out and recorded again
-                }
+}
+
+/// A run whose end may be in the journal is ordered no more: the next leader may have placed its
+/// task anew. So the end is recorded until that is known.
+void RunSupervisor::recordOver(const std::vector<EndedRun> &ended)
+{
+    parts_.propose(EndRuns {ended, wall_},
+        [self = shared_from_this(), ended](const Result<ApplyReply> &reply) {
+            if (!reply) {
+                self->overAgain_.insert(self->overAgain_.end(), ended.begin(), ended.end());
+                return;
+            }
+            for (const EndedRun &end : ended) {
+                self->release(end);
             }
             self->parts_.changed();
         });
@@ -168,6 +181,9 @@
         sweep(now);
     }
     recordEnds();
+    if (!overAgain_.empty() && !retired_) {
+        recordOver(std::exchange(overAgain_, {}));
+    }
     orderDue(now);
 }
 
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -87,6 +87,8 @@
     void reserve(const RunPlacement &placement, const StepSpec &spec);
     /// The placement was not recorded.
     void cancelReservation(const TaskRef &task);
+    /// Whether the placement was recorded is not known: it is taken back.
+    void withdraw(const TaskRef &task);
     /// The placement was recorded: the run is started.
     void start(const TaskRef &task, const std::optional<Ticket> &ticket, MonotonicTime now);
 
@@ -209,9 +211,11 @@
         IncarnationGone, // another process answers at its address
         StartRefused,
         WorkerReplaced, // before the start was ordered
+        NeverOrdered, // its placement may not have been recorded
     };
     [[nodiscard]] static std::string_view text(OverBy rule);
     void endRuns(const std::vector<EndedRun> &ended, OverBy rule);
+    void recordOver(const std::vector<EndedRun> &ended);
     void logOver(const Run &run, const EndedRun &end, OverBy rule) const;
     void logIgnored(const EndList &list) const;
     [[nodiscard]] EndedRun overAs(const Run &run, RunEnd end) const;
@@ -232,6 +236,7 @@
     std::set<TaskRef> ordersDue_;
     MonotonicTime sweepDue_ {};
     std::vector<EndList> listedEnds_; // not proposed yet
+    std::vector<EndedRun> overAgain_; // whether they were recorded is not known
 };
 
 } // namespace crocusmill
--- a/test/fakes/simulatedleader.h
+++ b/test/fakes/simulatedleader.h
@@ -343,6 +343,8 @@
                     supervisor->start(placement.task, std::nullopt, simulation_.now());
                 } else if (reply) {
                     supervisor->cancelReservation(placement.task);
+                } else {
+                    supervisor->withdraw(placement.task);
                 }
             }
         });
