Ends are acknowledged only to a process that has just answered

A worker's process died and its successor under the same id got the call that was meant for it, late, with a cursor of ends counted by the other: it forgot the ends of its first runs before anyone had listed them. They counted as lost and their tasks were started again, though they had ended as done and were acknowledged: TWICE. A call names the worker and not its process, so none that may reach another one carries a cursor: after a call without an answer the next one acknowledges nothing. Ends that are listed again for that are not recorded again.

--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -26,7 +26,11 @@
     }
     HoldOrder order;
     order.fence = parts_.fence;
-    order.acknowledged = worker.recorded;
+    // A later process under the same id would forget ends of its own: only one that has just
+    // answered is told.
+    if (worker.unanswered == 0) {
+        order.acknowledged = worker.recorded;
+    }
     // A worker that does not answer, or leaves, is given no more leases, so that its runs are over
     // some day.
     if (worker.unanswered < unansweredToLapse && !worker.leavesAt) {
@@ -105,6 +109,9 @@
     for (const ListedEnd &end : report.ended) {
         last = std::max(last, end.number);
         listed.insert(end.task);
+        if (end.number <= worker.recorded) {
+            continue; // it was not acknowledged yet
+        }
         Run *run = findRun(end.task, end.run);
         if (run != nullptr && run->placement.worker == id) {
             run->ending = true;
