--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -1,6 +1,5 @@
 /// Holds: leases renewed, and what workers list taken in.
 
-#include "src/net/clock.h"
 #include "src/net/log.h"
 #include "src/services/runsupervisor.h"
 
@@ -20,15 +19,21 @@
 
 void RunSupervisor::hold(const WorkerId &id, Worker &worker, MonotonicTime now)
 {
-    const bool departed = worker.leavesAt && now >= *worker.leavesAt;
-    if (!worker.known || worker.holding || now < worker.nextHold || departed || !mayOrder()) {
+    const bool departed = worker.leavesAt && now >= *worker.leavesAt && worker.runs.empty();
+    if (!worker.known || worker.holding || now < worker.nextHold || departed || worker.gone
+        || !mayOrder()) {
         return;
     }
     HoldOrder order;
     order.fence = parts_.fence;
-    order.acknowledged = worker.recorded;
-    // A worker that does not answer is given no more leases, so that its runs are over some day.
-    if (worker.unanswered < unansweredToLapse) {
+    // A later process under the same id would forget ends of its own: only one that has just
+    // answered is told.
+    if (worker.unanswered == 0) {
+        order.acknowledged = worker.recorded;
+    }
+    // A worker that does not answer, or leaves, is given no more leases, so that its runs are over
+    // some day.
+    if (worker.unanswered < unansweredToLapse && !worker.leavesAt) {
         order.deadline = lease(worker, now);
     }
     // The first answer is needed at once: what a new leader adopts, and what has room.
@@ -49,7 +54,7 @@
         return;
     }
     Worker &worker = found->second;
-    const MonotonicTime now = monotonicNow();
+    const MonotonicTime now = parts_.clock();
     worker.holding = false;
     if (outcome.clock) {
         worker.clock.observed(*outcome.clock, now);
@@ -72,6 +77,9 @@
         return;
     }
     if (outcome.error) {
+        worker.gone = worker.gone
+            || (worker.leavesAt && outcome.error == HoldError::NotConnected
+                && now - sent < parts_.times.refusal);
         ++worker.unanswered;
         worker.nextHold = now + holdRetryPause;
         if (worker.unanswered == 1) {
@@ -101,6 +109,9 @@
     for (const ListedEnd &end : report.ended) {
         last = std::max(last, end.number);
         listed.insert(end.task);
+        if (end.number <= worker.recorded) {
+            continue; // it was not acknowledged yet
+        }
         Run *run = findRun(end.task, end.run);
         if (run != nullptr && run->placement.worker == id) {
             run->ending = true;
@@ -127,7 +138,7 @@
     }
     endRuns(absent, OverBy::NotListed);
     if (ended.empty()) {
-        hold(id, worker, monotonicNow());
+        hold(id, worker, parts_.clock());
     } else {
         // The next hold acknowledges these ends, so it waits for their record.
         worker.holding = true;
@@ -145,12 +156,12 @@
     }
     if (run->stage == Stage::Adopted || run->stage == Stage::Starting) {
         run->stage = Stage::Running;
-        run->settledAt = monotonicNow();
+        run->settledAt = parts_.clock();
     }
     if (run->stage == Stage::Running) {
         watchProgress(id, *run, listed);
     } else if (run->stage == Stage::Stopping && run->settledAt
-        && monotonicNow() - *run->settledAt > parts_.times.orderLimit * 2) {
+        && parts_.clock() - *run->settledAt > parts_.times.orderLimit * 2) {
         run->settledAt.reset(); // the stop did not take: order it again
     }
 }
@@ -184,7 +195,7 @@
 /// Stops a run that stands still, so that it is started elsewhere.
 void RunSupervisor::watchProgress(const WorkerId &id, Run &run, const ListedRun &listed)
 {
-    const MonotonicTime now = monotonicNow();
+    const MonotonicTime now = parts_.clock();
     if (run.progressed == MonotonicTime {} || listed.percent != run.percent) {
         run.percent = listed.percent;
         run.progressed = now;
@@ -220,7 +231,7 @@
     if (end.end == RunEnd::Succeeded) {
         health_.succeeded(id);
     } else if (end.end == RunEnd::Failed) {
-        health_.failed(id, end.task.graph, monotonicNow());
+        health_.failed(id, end.task.graph, parts_.clock());
     }
 }
 
@@ -235,7 +246,7 @@
     for (const EndList &list : lists) {
         ended.insert(ended.end(), list.ended.begin(), list.ended.end());
     }
-    parts_.propose(EndRuns {ended, wallTimeNow()},
+    parts_.propose(EndRuns {ended, wall_},
         [self = shared_from_this(), lists, open = openAmong(ended)](
             const Result<ApplyReply> &reply) {
             if (!reply) {
@@ -268,7 +279,7 @@
     }
     found->second.holding = false;
     found->second.recorded = std::max(found->second.recorded, list.last);
-    hold(list.worker, found->second, monotonicNow());
+    hold(list.worker, found->second, parts_.clock());
 }
 
 } // namespace crocusmill
--- a/src/services/runlogs.cpp
+++ b/src/services/runlogs.cpp
@@ -1,6 +1,5 @@
 /// What the log says of runs that are over: by which rule, on what evidence and how old it was.
 
-#include "src/net/clock.h"
 #include "src/net/log.h"
 #include "src/services/runsupervisor.h"
 
@@ -68,13 +67,15 @@
         return "start_refused";
     case OverBy::WorkerReplaced:
         return "worker_replaced";
+    case OverBy::NeverOrdered:
+        return "never_ordered";
     }
     return "unknown";
 }
 
 void RunSupervisor::logOver(const Run &run, const EndedRun &end, OverBy rule) const
 {
-    const MonotonicTime now = monotonicNow();
+    const MonotonicTime now = parts_.clock();
     const Worker &worker = workers_.at(run.placement.worker);
     logInfo("run.over",
         {{"task", asText(end.task)}, {"run", std::uint64_t {end.run.value()}},
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include "src/net/clock.h"
 #include "src/services/interfaces.h"
 #include "src/services/workerlink.h"
 
@@ -46,8 +47,10 @@
     /// How often every run and every worker is looked at. Runs that wait for an order are looked at
     /// in each round.
     Milliseconds sweep {100};
-    /// A worker says that it leaves shortly before its process ends.
+    /// A worker that said that it leaves, and has no runs, is forgotten after this.
     Milliseconds departure {1'000};
+    /// A connection that fails sooner was refused; one that is not answered fails later.
+    Milliseconds refusal {100};
 };
 
 class RunSupervisor : public std::enable_shared_from_this<RunSupervisor>
@@ -66,6 +69,7 @@
         SupervisorTimes times;
         /// Something ended: a round is due, which records it, or has room to give away.
         std::function<void()> changed;
+        std::function<MonotonicTime()> clock = monotonicNow;
     };
 
     RunSupervisor(Parts parts, MonotonicTime now);
@@ -83,6 +87,8 @@
     void reserve(const RunPlacement &placement, const StepSpec &spec);
     /// The placement was not recorded.
     void cancelReservation(const TaskRef &task);
+    /// Whether the placement was recorded is not known: it is taken back.
+    void withdraw(const TaskRef &task);
     /// The placement was recorded: the run is started.
     void start(const TaskRef &task, const std::optional<Ticket> &ticket, MonotonicTime now);
 
@@ -143,6 +149,7 @@
         EndNumber recorded; // ends up to this one are in the journal
         std::set<TaskRef> runs;
         std::optional<MonotonicTime> leavesAt; // it said that it leaves
+        bool gone = false; // and nobody listens there any more
         std::uint32_t refusals = 0; // orders refused in a row
         MonotonicTime refusedUntil {};
     };
@@ -204,9 +211,11 @@
         IncarnationGone, // another process answers at its address
         StartRefused,
         WorkerReplaced, // before the start was ordered
+        NeverOrdered, // its placement may not have been recorded
     };
     [[nodiscard]] static std::string_view text(OverBy rule);
     void endRuns(const std::vector<EndedRun> &ended, OverBy rule);
+    void recordOver(const std::vector<EndedRun> &ended);
     void logOver(const Run &run, const EndedRun &end, OverBy rule) const;
     void logIgnored(const EndList &list) const;
     [[nodiscard]] EndedRun overAs(const Run &run, RunEnd end) const;
@@ -227,6 +236,7 @@
     std::set<TaskRef> ordersDue_;
     MonotonicTime sweepDue_ {};
     std::vector<EndList> listedEnds_; // not proposed yet
+    std::vector<EndedRun> overAgain_; // whether they were recorded is not known
 };
 
 } // namespace crocusmill
