A peer key can be dropped without a crash

A program that drops its peer service ends with a segmentation fault. Asio keeps its verification callback in the application's data of a TLS context and deletes it with the context; the peer key had put itself there. The key now has a slot of its own. Seen by bench/peermessages, which makes and drops services; test/peerstream does so in each of its cases.

--- a/src/net/peerstream.cpp
+++ b/src/net/peerstream.cpp
@@ -22,10 +22,18 @@
 constexpr const char *pskIdentity = "crocusmill";
 constexpr const char *pskCiphers = "ECDHE-PSK-CHACHA20-POLY1305";
 
+/// Where a TLS context keeps its PeerKey. Not the application's data: Asio keeps a callback there
+/// that it deletes with the context.
+int keySlot()
+{
+    static const int slot = SSL_CTX_get_ex_new_index(0, nullptr, nullptr, nullptr, nullptr);
+    return slot;
+}
+
 const std::string &keyOf(SSL *ssl)
 {
-    const PeerKey *key = static_cast<const PeerKey *>(SSL_CTX_get_app_data(SSL_get_SSL_CTX(ssl)));
-    return key->key();
+    const void *key = SSL_CTX_get_ex_data(SSL_get_SSL_CTX(ssl), keySlot());
+    return static_cast<const PeerKey *>(key)->key();
 }
 
 unsigned int copyKey(SSL *ssl, unsigned char *out, unsigned int most)
@@ -203,7 +211,7 @@
     , context_(asio::ssl::context::tlsv12)
 {
     SSL_CTX *native = context_.native_handle();
-    SSL_CTX_set_app_data(native, this);
+    SSL_CTX_set_ex_data(native, keySlot(), this);
     SSL_CTX_set_cipher_list(native, pskCiphers);
     SSL_CTX_set_psk_client_callback(native, clientKey);
     SSL_CTX_set_psk_server_callback(native, serverKey);
