Commands and calls in a compact binary form

The leader wrote each record as a JSON tree and read it again, and so did both ends of each call. Records are now written member by member, with the format's version first.

Tests: every edge of the numbers, arbitrary bytes, every cut, changed bytes, counts that lie, and both forms of commands and calls read alike.

--- a/src/state/codec.cpp
+++ b/src/state/codec.cpp
@@ -1,5 +1,6 @@
-/// Commands and snapshots of the state machine as JSON.
+/// Commands of the state machine as tagged records, and its snapshots as JSON.
 
+#include "src/wire/binary.h"
 #include "src/wire/commandjson.h"
 
 #include <crocusmill/statemachine.h>
@@ -62,12 +63,12 @@
 
 std::string encodeCommand(const Command &command)
 {
-    return encodeVariant(command);
+    return encodeRecord(command);
 }
 
 Result<Command> decodeCommand(std::string_view payload)
 {
-    return decodeVariant<Command>(payload);
+    return decodeRecord<Command>(payload);
 }
 
 ApplyReply StateMachine::applyEncoded(std::string_view payload, LogIndex index)
--- /dev/null
+++ b/src/wire/binary.h
@@ -0,0 +1,373 @@
+/// Conversion of described structs, strong types and tagged variants to a compact binary form.
+///
+/// A record is the format's version, the length and name of its kind, and its body. In a body,
+/// integers are variable-length (LEB128, signed ones zigzag), strings and vectors follow their
+/// length, an optional follows a flag, and a struct follows the number of its members. Members
+/// that an older writer did not have yet keep their defaults, so new ones go at the end.
+
+#pragma once
+
+#include "src/wire/json.h"
+
+#include <boost/mp11/algorithm.hpp>
+
+#include <algorithm>
+#include <bit>
+#include <concepts>
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <type_traits>
+#include <vector>
+
+namespace crocusmill
+{
+
+/// First byte of a record in this form; JSON begins with another.
+inline constexpr char binaryVersion = 1;
+
+template <typename T>
+concept Described = std::is_class_v<T> && boost::describe::has_describe_members<T>::value;
+
+template <typename T>
+using MembersOf = boost::describe::describe_members<T,
+    boost::describe::mod_public | boost::describe::mod_inherited>;
+
+class BinaryWriter
+{
+public:
+    explicit BinaryWriter(std::string &out)
+        : out_(out)
+    {
+    }
+
+    void put(std::uint64_t value)
+    {
+        while (value >= 0x80U) {
+            out_.push_back(static_cast<char>(value | 0x80U));
+            value >>= 7U;
+        }
+        out_.push_back(static_cast<char>(value));
+    }
+
+    void put(std::string_view value)
+    {
+        put(std::uint64_t {value.size()});
+        out_.append(value);
+    }
+
+    void put(const std::string &value)
+    {
+        put(std::string_view {value});
+    }
+
+    template <std::integral T> void put(T value)
+    {
+        if constexpr (std::is_signed_v<T>) {
+            const std::int64_t wide = value;
+            put((static_cast<std::uint64_t>(wide) << 1U)
+                ^ static_cast<std::uint64_t>(wide >> 63)); // zigzag
+        } else {
+            put(std::uint64_t {value});
+        }
+    }
+
+    void put(double value)
+    {
+        const std::uint64_t bits = std::bit_cast<std::uint64_t>(value);
+        for (unsigned int shift = 0; shift < 64; shift += 8) {
+            out_.push_back(static_cast<char>(bits >> shift));
+        }
+    }
+
+    template <typename T>
+    requires std::is_enum_v<T>
+    void put(T value)
+    {
+        put(static_cast<std::uint64_t>(value));
+    }
+
+    template <typename Tag, typename Rep> void put(const StrongValue<Tag, Rep> &value)
+    {
+        put(value.value());
+    }
+
+    template <typename Rep, typename Period>
+    void put(const std::chrono::duration<Rep, Period> &value)
+    {
+        put(static_cast<std::int64_t>(value.count()));
+    }
+
+    void put(const WallTime &value)
+    {
+        put(value.time_since_epoch());
+    }
+
+    template <typename T> void put(const std::optional<T> &value)
+    {
+        put(value.has_value());
+        if (value) {
+            put(*value);
+        }
+    }
+
+    template <typename T> void put(const std::vector<T> &values)
+    {
+        put(std::uint64_t {values.size()});
+        for (const T &value : values) {
+            put(value);
+        }
+    }
+
+    template <Described T> void put(const T &value)
+    {
+        constexpr std::uint64_t count = boost::mp11::mp_size<MembersOf<T>>::value;
+        put(count);
+        boost::mp11::mp_for_each<MembersOf<T>>(
+            [&](auto member) { put(value.*decltype(member)::pointer); });
+    }
+
+private:
+    std::string &out_;
+};
+
+/// Reads what BinaryWriter wrote. After a failure nothing more is read, and ok() is false.
+class BinaryReader
+{
+public:
+    explicit BinaryReader(std::string_view bytes)
+        : rest_(bytes)
+    {
+    }
+
+    [[nodiscard]] bool ok() const
+    {
+        return ok_;
+    }
+
+    /// Everything was read, and nothing is left.
+    [[nodiscard]] bool atEnd() const
+    {
+        return ok_ && rest_.empty();
+    }
+
+    void take(std::uint64_t &value)
+    {
+        value = 0;
+        for (unsigned int shift = 0; shift < 64; shift += 7) {
+            if (rest_.empty()) {
+                break;
+            }
+            const std::uint64_t byte = static_cast<unsigned char>(rest_.front());
+            rest_.remove_prefix(1);
+            constexpr unsigned int lastShift = 63;
+            if (shift == lastShift && byte > 1) {
+                break;
+            }
+            value |= (byte & 0x7fU) << shift;
+            if (byte < 0x80U) {
+                return;
+            }
+        }
+        fail();
+    }
+
+    void take(std::string &value)
+    {
+        value.assign(takeBytes());
+    }
+
+    [[nodiscard]] std::string_view takeBytes()
+    {
+        std::uint64_t size = 0;
+        take(size);
+        if (size > rest_.size()) {
+            fail();
+            return {};
+        }
+        const std::string_view bytes = rest_.substr(0, size);
+        rest_.remove_prefix(size);
+        return bytes;
+    }
+
+    template <std::integral T> void take(T &value)
+    {
+        std::uint64_t wide = 0;
+        take(wide);
+        if constexpr (std::is_signed_v<T>) {
+            const std::int64_t number = static_cast<std::int64_t>((wide >> 1U) ^ (0 - (wide & 1U)));
+            inRange(
+                number >= std::numeric_limits<T>::min() && number <= std::numeric_limits<T>::max());
+            value = static_cast<T>(number);
+        } else {
+            inRange(wide <= std::numeric_limits<T>::max());
+            value = static_cast<T>(wide);
+        }
+    }
+
+    void take(double &value)
+    {
+        if (rest_.size() < sizeof(std::uint64_t)) {
+            fail();
+            return;
+        }
+        std::uint64_t bits = 0;
+        for (unsigned int i = 0; i < sizeof(bits); ++i) {
+            bits |= std::uint64_t {static_cast<unsigned char>(rest_[i])} << (8 * i);
+        }
+        rest_.remove_prefix(sizeof(bits));
+        value = std::bit_cast<double>(bits);
+    }
+
+    template <typename T>
+    requires std::is_enum_v<T>
+    void take(T &value)
+    {
+        std::uint64_t number = 0;
+        take(number);
+        bool known = false;
+        boost::mp11::mp_for_each<boost::describe::describe_enumerators<T>>([&](auto enumerator) {
+            known = known || static_cast<std::uint64_t>(enumerator.value) == number;
+        });
+        inRange(known);
+        value = static_cast<T>(ok_ ? number : 0);
+    }
+
+    template <typename Tag, typename Rep> void take(StrongValue<Tag, Rep> &value)
+    {
+        Rep rep {};
+        take(rep);
+        value = StrongValue<Tag, Rep> {std::move(rep)};
+    }
+
+    template <typename Rep, typename Period> void take(std::chrono::duration<Rep, Period> &value)
+    {
+        std::int64_t count = 0;
+        take(count);
+        value = std::chrono::duration<Rep, Period> {count};
+    }
+
+    void take(WallTime &value)
+    {
+        Milliseconds sinceEpoch {0};
+        take(sinceEpoch);
+        value = WallTime {sinceEpoch};
+    }
+
+    template <typename T> void take(std::optional<T> &value)
+    {
+        bool present = false;
+        take(present);
+        value.reset();
+        if (present && ok_) {
+            take(value.emplace());
+        }
+    }
+
+    template <typename T> void take(std::vector<T> &values)
+    {
+        constexpr std::size_t mostReserved = 1'024; // the count is not to be trusted
+        std::uint64_t count = 0;
+        take(count);
+        inRange(count <= rest_.size()); // no value is shorter than a byte
+        values.clear();
+        if (!ok_) {
+            return;
+        }
+        values.reserve(std::min<std::size_t>(count, mostReserved));
+        for (std::uint64_t i = 0; i < count && ok_; ++i) {
+            take(values.emplace_back());
+        }
+    }
+
+    template <Described T> void take(T &value)
+    {
+        constexpr std::uint64_t known = boost::mp11::mp_size<MembersOf<T>>::value;
+        std::uint64_t count = 0;
+        take(count);
+        inRange(count <= known);
+        std::uint64_t number = 0;
+        boost::mp11::mp_for_each<MembersOf<T>>([&](auto member) {
+            if (ok_ && number < count) {
+                take(value.*decltype(member)::pointer);
+            }
+            ++number;
+        });
+    }
+
+private:
+    void fail()
+    {
+        ok_ = false;
+        rest_ = {};
+    }
+
+    void inRange(bool holds)
+    {
+        if (!holds) {
+            fail();
+        }
+    }
+
+    // Invariant: empty once ok_ is false.
+    std::string_view rest_;
+    bool ok_ = true;
+};
+
+template <typename... Ts> [[nodiscard]] std::string encodeRecord(const std::variant<Ts...> &record)
+{
+    constexpr std::size_t usualBytes = 256;
+    std::string out;
+    out.reserve(usualBytes);
+    out.push_back(binaryVersion);
+    std::visit(
+        [&out](const auto &body) {
+            BinaryWriter writer {out};
+            writer.put(std::string_view {std::decay_t<decltype(body)>::kind});
+            writer.put(body);
+        },
+        record);
+    return out;
+}
+
+template <typename Variant, typename T>
+[[nodiscard]] bool readAlternative(
+    std::string_view kind, BinaryReader &reader, Result<Variant> &decoded)
+{
+    if (kind != T::kind) {
+        return false;
+    }
+    T body;
+    reader.take(body);
+    if (reader.atEnd()) {
+        decoded = Variant {std::move(body)};
+    } else {
+        decoded = CodecError::Malformed;
+    }
+    return true;
+}
+
+template <typename... Ts>
+[[nodiscard]] Result<std::variant<Ts...>> decodeRecord(
+    std::string_view bytes, std::type_identity<std::variant<Ts...>> /*of*/)
+{
+    if (bytes.empty() || bytes.front() != binaryVersion) {
+        return decodeVariant<std::variant<Ts...>>(bytes); // as earlier versions wrote it
+    }
+    BinaryReader reader {bytes.substr(1)};
+    const std::string_view kind = reader.takeBytes();
+    if (!reader.ok()) {
+        return CodecError::Malformed;
+    }
+    Result<std::variant<Ts...>> decoded = CodecError::UnknownKind;
+    static_cast<void>((readAlternative<std::variant<Ts...>, Ts>(kind, reader, decoded) || ...));
+    return decoded;
+}
+
+/// Errors: Malformed, UnknownKind.
+template <typename Variant> [[nodiscard]] Result<Variant> decodeRecord(std::string_view bytes)
+{
+    return decodeRecord(bytes, std::type_identity<Variant> {});
+}
+
+} // namespace crocusmill
--- a/src/wire/calls.cpp
+++ b/src/wire/calls.cpp
@@ -1,7 +1,8 @@
-/// Control calls as tagged JSON records.
+/// Control calls as tagged records.
 
 #include "src/wire/calls.h"
 
+#include "src/wire/binary.h"
 #include "src/wire/calljson.h"
 
 namespace crocusmill
@@ -9,22 +10,22 @@
 
 std::string encodeCall(const Call &call)
 {
-    return encodeVariant(call);
+    return encodeRecord(call);
 }
 
 Result<Call> decodeCall(std::string_view text)
 {
-    return decodeVariant<Call>(text);
+    return decodeRecord<Call>(text);
 }
 
 std::string encodeReply(const Reply &reply)
 {
-    return encodeVariant(reply);
+    return encodeRecord(reply);
 }
 
 Result<Reply> decodeReply(std::string_view text)
 {
-    return decodeVariant<Reply>(text);
+    return decodeRecord<Reply>(text);
 }
 
 } // namespace crocusmill
--- a/src/wire/json.h
+++ b/src/wire/json.h
@@ -1,7 +1,7 @@
 /// Conversion of described structs, strong types and tagged variants to JSON and back.
 ///
-/// One codec serves the journal's commands, its snapshots and the calls between VMs, so that a
-/// record has one form wherever it is seen.
+/// Snapshots and what operators read are in this form, and so are records of earlier versions.
+/// What is written often is in that of binary.h.
 
 #pragma once
 
--- /dev/null
+++ b/test/binary.cpp
@@ -0,0 +1,211 @@
+/// Records in the compact form: as they were written, beside those of earlier versions, and
+/// malformed in every way.
+
+#include "src/wire/binary.h"
+
+#include "src/wire/calljson.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+struct OldPair
+{
+    std::uint32_t first = 0;
+};
+
+struct NewPair
+{
+    std::uint32_t first = 0;
+    std::string second = "default";
+};
+
+BOOST_DESCRIBE_STRUCT(OldPair, (), (first))
+BOOST_DESCRIBE_STRUCT(NewPair, (), (first, second))
+
+template <typename T> std::string bytesOf(const T &value)
+{
+    std::string out;
+    BinaryWriter {out}.put(value);
+    return out;
+}
+
+template <typename T> std::optional<T> valueOf(std::string_view bytes)
+{
+    T value {};
+    BinaryReader reader {bytes};
+    reader.take(value);
+    return reader.atEnd() ? std::optional<T> {std::move(value)} : std::nullopt;
+}
+
+template <typename T> void checkNumbers(const std::vector<T> &values)
+{
+    for (const T value : values) {
+        CHECK(valueOf<T>(bytesOf(value)) == value);
+    }
+}
+
+std::string anyBytes()
+{
+    std::string bytes;
+    for (int value = 0; value < 256; ++value) {
+        bytes.push_back(static_cast<char>(value));
+    }
+    return bytes;
+}
+
+GraphSpec someSpec()
+{
+    GraphSpec spec;
+    spec.id = GraphId {"481a31d2707681df"};
+    spec.payload = anyBytes();
+    StepSpec step;
+    step.tasks = 7;
+    step.size = {2'000, ByteCount {1ULL << 40U}, 3};
+    step.after = {0, 1, 300};
+    step.gang = true;
+    step.label = WorkerLabel {"gpu"};
+    spec.steps = {step, {}};
+    spec.recurrence = {3, WallTime {Milliseconds {-5}}, Milliseconds {1'000}};
+    spec.slackFactor = 1.75;
+    return spec;
+}
+
+std::vector<Command> someCommands()
+{
+    const TaskRef task {GraphId {"g"}, 1, 2, 3};
+    const Incarnation incarnation {"1771522272375"};
+    AdmitWork admit;
+    admit.work = WorkId {"w"};
+    admit.workClass = WorkClass::Heavy;
+    admit.request = StoredRequest {"POST", "/", {{"a", "b"}}, anyBytes()};
+    return {admit, SubmitGraph {someSpec(), WallTime {Milliseconds {1'771'522'272'375}}},
+        PlaceRuns {{{task, RunNumber {1}, WorkerId {"w"}, incarnation}}}, PlaceRuns {},
+        EndRuns {{{task, RunNumber {2}, RunEnd::Lost, Checkpoint {anyBytes()}}}, WallTime {}},
+        NoteLeaving {WorkerId {"w"}, incarnation, WallTime {}}, CancelGraph {}, ForgetEnded {}};
+}
+
+std::vector<Call> someCalls()
+{
+    WorkerHeartbeat heartbeat;
+    heartbeat.id = WorkerId {"w"};
+    heartbeat.labels = {WorkerLabel {"a"}, WorkerLabel {anyBytes()}};
+    heartbeat.address = {"10.0.3.17", 65'535};
+    BeatCall beat;
+    beat.held = {{UpstreamId {"u"}, SlotCount {3}}};
+    return {GraphCall {GraphAction::Show, "host", "/jobs/1", {}},
+        GraphCall {GraphAction::Submit, "host", "/jobs", someSpec()},
+        HeartbeatCall {heartbeat, true}, PresenceCall {VmId {"vm"}, {}, ReplicaId {7}, true, true},
+        beat, ProposeCall {anyBytes()}, FormCall {}, OperatorCall {}};
+}
+
+/// Two values are alike when their JSON is.
+template <typename Variant> std::string textOf(const Result<Variant> &value)
+{
+    return value ? encodeVariant(value.value()) : value.error().message();
+}
+
+template <typename Variant> void checkRoundTrip(const std::vector<Variant> &records)
+{
+    for (const Variant &record : records) {
+        const std::string text = encodeVariant(record);
+        CHECK(textOf(decodeRecord<Variant>(encodeRecord(record))) == text);
+        CHECK(textOf(decodeRecord<Variant>(text)) == text); // as earlier versions wrote it
+        CHECK(encodeRecord(record).size() < text.size());
+    }
+}
+
+/// Every cut is refused; every changed byte is refused or read as a value that can be written.
+template <typename Variant> void checkMalformed(const std::vector<Variant> &records)
+{
+    std::mt19937_64 random {1};
+    for (const Variant &record : records) {
+        const std::string bytes = encodeRecord(record);
+        for (std::size_t size = 0; size < bytes.size(); ++size) {
+            CHECK(decodeRecord<Variant>(std::string_view {bytes}.substr(0, size)).has_error());
+        }
+        CHECK(decodeRecord<Variant>(bytes + '\0').has_error());
+        constexpr int trials = 3'000;
+        for (int trial = 0; trial < trials; ++trial) {
+            std::string changed = bytes;
+            for (std::uint64_t change = 0; change <= random() % 3; ++change) {
+                changed[random() % changed.size()] = static_cast<char>(random());
+            }
+            const Result<Variant> decoded = decodeRecord<Variant>(changed);
+            if (decoded) {
+                const std::string again = encodeRecord(decoded.value());
+                CHECK(decodeRecord<Variant>(again).has_value());
+            }
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("numbers are read as they were written, at the edges of their types")
+{
+    checkNumbers<std::uint64_t>({0, 1, 127, 128, 16'383, 16'384, UINT64_MAX, UINT64_MAX - 1});
+    checkNumbers<std::int64_t>({0, -1, 1, 63, -64, 64, -65, INT64_MIN, INT64_MAX});
+    checkNumbers<std::uint16_t>({0, 255, 256, UINT16_MAX});
+    checkNumbers<std::int32_t>({INT32_MIN, -1, INT32_MAX});
+    checkNumbers<double>({0, -0.5, 1e300, std::numeric_limits<double>::infinity()});
+    CHECK(bytesOf(std::uint64_t {127}).size() == 1);
+}
+
+TEST_CASE("a number beyond its type is refused")
+{
+    CHECK_FALSE(valueOf<std::uint16_t>(bytesOf(std::uint64_t {65'536})));
+    CHECK_FALSE(valueOf<std::int32_t>(bytesOf(std::int64_t {INT32_MAX} + 1)));
+    CHECK_FALSE(valueOf<bool>(bytesOf(std::uint64_t {2})));
+    CHECK_FALSE(valueOf<RunEnd>(bytesOf(std::uint64_t {5})));
+    CHECK_FALSE(valueOf<std::uint64_t>(std::string(9, '\xff') + '\x02'));
+    CHECK_FALSE(valueOf<std::uint64_t>(std::string(11, '\xff')));
+    CHECK(valueOf<std::uint64_t>(std::string(9, '\xff') + '\x01') == UINT64_MAX);
+}
+
+TEST_CASE("a count that the bytes cannot hold takes no memory")
+{
+    CHECK_FALSE(valueOf<std::vector<std::string>>(bytesOf(std::uint64_t {1} << 40U)));
+    CHECK_FALSE(valueOf<std::string>(bytesOf(std::uint64_t {1} << 40U)));
+    CHECK_FALSE(valueOf<std::string>(bytesOf(UINT64_MAX)));
+}
+
+TEST_CASE("commands and calls are read as they were written, in either form")
+{
+    checkRoundTrip(someCommands());
+    checkRoundTrip(someCalls());
+}
+
+TEST_CASE("cut and changed records are refused or read, never more")
+{
+    checkMalformed(someCommands());
+    checkMalformed(someCalls());
+}
+
+TEST_CASE("a record of an unknown kind or form is refused by its type")
+{
+    std::string unknown {binaryVersion};
+    BinaryWriter {unknown}.put(std::string_view {"from_the_future"});
+    CHECK(decodeRecord<Command>(unknown).error() == CodecError::UnknownKind);
+    std::string later = encodeRecord(Command {CancelGraph {}});
+    later.front() = binaryVersion + 1;
+    CHECK(decodeRecord<Command>(later).error() == CodecError::Malformed);
+    CHECK(decodeRecord<Command>("").error() == CodecError::Malformed);
+}
+
+TEST_CASE("a record from before a member was added is read with the member's default")
+{
+    const std::optional<NewPair> read = valueOf<NewPair>(bytesOf(OldPair {3}));
+    REQUIRE(read);
+    CHECK(read->first == 3);
+    CHECK(read->second == "default");
+    CHECK_FALSE(valueOf<OldPair>(bytesOf(NewPair {3, "x"})));
+}
+
+} // namespace crocusmill
