A follower is sent what was appended with one message, not also with an empty one

An answer that came in between a proposal and the next Ready sent the follower the new entries, and the Ready then sent an empty append to the same follower: twice the messages, each with an answer. The answer now leaves it to the Ready, which the host takes after each input anyway. Nothing changes in what is sent when, as messages leave with the Ready in either case.

--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -217,7 +217,8 @@
         progress.probing = false;
         progress.next = next(progress.match);
     }
-    if (member != nullptr && progress.next <= lastIndex()) {
+    // What was appended meanwhile goes to all members with the next Ready, in one message each.
+    if (member != nullptr && progress.next <= lastIndex() && !replicationDue_) {
         replicateTo(*member);
     }
     advanceCommit();
--- a/test/consensus.cpp
+++ b/test/consensus.cpp
@@ -75,6 +75,29 @@
     return now;
 }
 
+/// Of three voters; it has been elected, and the others have its first entry.
+Consensus electedLeader(MonotonicTime &now)
+{
+    Consensus leader {ReplicaId {1}, quickElections(), formed(3), 1, now};
+    untilVoteRequest(leader, now, true);
+    const Term term {2};
+    for (const bool preVote : {true, false}) {
+        leader.receive({ReplicaId {2}, ReplicaId {1}, term, VoteReply {preVote, true}}, now);
+    }
+    const Ready elected = leader.takeReady();
+    REQUIRE(leader.isLeader());
+    leader.persisted(leader.lastIndex(), term);
+    for (const std::uint64_t id : {2, 3}) {
+        leader.receive({ReplicaId {id}, ReplicaId {1}, term,
+                           AppendReply {true, leader.lastIndex(), LogIndex {1},
+                               static_cast<std::uint64_t>(now.time_since_epoch().count())}},
+            now);
+    }
+    REQUIRE(leader.commitIndex() == leader.lastIndex());
+    static_cast<void>(leader.takeReady());
+    return leader;
+}
+
 } // namespace
 
 TEST_CASE("a leader is elected and commits")
@@ -278,4 +301,24 @@
     CHECK(held);
 }
 
+TEST_CASE("what is appended while answers come in goes to each follower with one message")
+{
+    MonotonicTime now {Milliseconds {10'000}};
+    Consensus leader = electedLeader(now);
+    const LogIndex before = leader.lastIndex();
+    for (const char *payload : {"a", "b"}) {
+        REQUIRE(leader.propose(payload).has_value());
+        // As a follower that answers a heartbeat does.
+        leader.receive(
+            {ReplicaId {2}, ReplicaId {1}, Term {2}, AppendReply {true, before, before, 0}}, now);
+    }
+    std::map<ReplicaId, std::vector<std::size_t>> sent;
+    for (const Message &message : leader.takeReady().send) {
+        sent[message.to].push_back(std::get<AppendRequest>(message.body).entries.size());
+    }
+    const std::vector<std::size_t> oneOfTwoEntries {2};
+    CHECK(sent[ReplicaId {2}] == oneOfTwoEntries);
+    CHECK(sent[ReplicaId {3}] == oneOfTwoEntries);
+}
+
 } // namespace crocusmill
