Observability: how late records are stored, and how old a lapsed lease's acknowledgements are

The control loop was not late when the lease lapsed, so the log could not tell a slow disk or storage thread from followers that answer late.

--- a/include/crocusmill/consensus.h
+++ b/include/crocusmill/consensus.h
@@ -230,6 +230,8 @@
     [[nodiscard]] bool isLeader() const;
     /// For how long a member has not answered this leader; zero for the leader itself.
     [[nodiscard]] Milliseconds silence(ReplicaId id) const;
+    /// Since when a majority has acknowledged what this leader sent.
+    [[nodiscard]] Milliseconds quorumSilence() const;
     /// True when a learner has every entry that was committed.
     [[nodiscard]] bool caughtUp(ReplicaId id) const;
 
--- a/src/consensus/consensus.cpp
+++ b/src/consensus/consensus.cpp
@@ -234,6 +234,11 @@
     return std::chrono::duration_cast<Milliseconds>(now_ - heard);
 }
 
+Milliseconds Consensus::quorumSilence() const
+{
+    return std::chrono::duration_cast<Milliseconds>(now_ - std::max(quorumAck(), ledSince_));
+}
+
 void Consensus::checkQuorum()
 {
     const MonotonicTime alive = std::max(quorumAck(), ledSince_);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -99,7 +99,7 @@
         replica = storage->identity();
     }
     kernel_.add(makePeerService(loop_, settings_.peers, std::move(key)));
-    kernel_.add(makeJournalService(control, settings_, std::move(storage),
+    kernel_.add(makeJournalService(control, settings_, metrics_, std::move(storage),
         [this]() { asio::post(loop_.context(), [this]() { beginShutdown(); }); }));
     kernel_.add(makeLeaderService(control, settings_, metrics_, !settings_.platform.empty()));
     kernel_.add(makeClientService(control, settings_));
--- a/src/services/journalservice.cpp
+++ b/src/services/journalservice.cpp
@@ -22,6 +22,8 @@
 
 constexpr Milliseconds tickInterval {10};
 constexpr Milliseconds proposeLimit {5'000};
+/// A record that is stored so late delays every commit behind it.
+constexpr Milliseconds notableStore {100};
 
 std::size_t voterTarget(const Settings &settings)
 {
@@ -32,10 +34,11 @@
 class JournalService final : public Service, public Journal
 {
 public:
-    JournalService(asio::io_context &control, const Settings &settings,
+    JournalService(asio::io_context &control, const Settings &settings, Metrics &metrics,
         std::unique_ptr<Storage> storage, std::function<void()> stopProcess)
         : control_(control)
         , settings_(settings)
+        , metrics_(metrics)
         , stopProcess_(std::move(stopProcess))
         , storage_(std::move(storage))
         , tick_(control)
@@ -249,10 +252,14 @@
     /// Runs `work` on the storage thread and, when it succeeded, `done` on the control thread.
     void store(std::function<Result<void>()> work, std::function<void()> done)
     {
-        asio::post(storageThread_, [this, work = std::move(work), done = std::move(done)]() {
+        const MonotonicTime asked = monotonicNow();
+        asio::post(storageThread_, [this, asked, work = std::move(work), done = std::move(done)]() {
+            const MonotonicTime began = monotonicNow();
             const Result<void> outcome = work();
-            asio::post(control_, [this, outcome, done]() {
+            const MonotonicTime ended = monotonicNow();
+            asio::post(control_, [this, asked, began, ended, outcome, done]() {
                 storing_ = false;
+                noteStored(asked, began, ended);
                 if (!outcome) {
                     fail(outcome.error());
                     return;
@@ -262,6 +269,25 @@
         });
     }
 
+    /// Waiting for the storage thread, its work, and until the control thread knew of it.
+    void noteStored(MonotonicTime asked, MonotonicTime began, MonotonicTime ended)
+    {
+        const MonotonicTime now = monotonicNow();
+        metrics_.observe(
+            {"journal_store_seconds", ""}, std::chrono::duration_cast<Microseconds>(now - asked));
+        if (now - asked < notableStore) {
+            return;
+        }
+        const std::function<std::uint64_t(MonotonicTime, MonotonicTime)> between =
+            [](MonotonicTime from, MonotonicTime to) {
+                return static_cast<std::uint64_t>(
+                    std::chrono::duration_cast<Milliseconds>(to - from).count());
+            };
+        logWarning("journal.store_late",
+            {{"waited_ms", between(asked, began)}, {"wrote_ms", between(began, ended)},
+                {"returned_ms", between(ended, now)}});
+    }
+
     void stored(const Ready &ready)
     {
         if (ready.install) {
@@ -411,6 +437,7 @@
 
     asio::io_context &control_;
     Settings settings_;
+    Metrics &metrics_;
     std::function<void()> stopProcess_;
     std::unique_ptr<Storage> storage_;
     std::unique_ptr<Consensus> consensus_;
@@ -433,10 +460,10 @@
 } // namespace
 
 std::unique_ptr<Service> makeJournalService(asio::io_context &control, const Settings &settings,
-    std::unique_ptr<Storage> storage, std::function<void()> stopProcess)
+    Metrics &metrics, std::unique_ptr<Storage> storage, std::function<void()> stopProcess)
 {
     return std::make_unique<JournalService>(
-        control, settings, std::move(storage), std::move(stopProcess));
+        control, settings, metrics, std::move(storage), std::move(stopProcess));
 }
 
 } // namespace crocusmill
--- a/src/services/journalservice.h
+++ b/src/services/journalservice.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "src/net/asio.h"
+#include "src/net/metrics.h"
 #include "src/services/interfaces.h"
 
 #include <crocusmill/settings.h>
@@ -17,6 +18,7 @@
 /// `storage` is null on a VM without a data folder; its journal only answers that it has none.
 /// `stopProcess` is called when the disk refuses a write.
 [[nodiscard]] std::unique_ptr<Service> makeJournalService(asio::io_context &control,
-    const Settings &settings, std::unique_ptr<Storage> storage, std::function<void()> stopProcess);
+    const Settings &settings, Metrics &metrics, std::unique_ptr<Storage> storage,
+    std::function<void()> stopProcess);
 
 } // namespace crocusmill
--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -311,8 +311,11 @@
             }
             const bool lapses = !journal_->leads() && leadsStill();
             if (lapses != std::exchange(lapsed_, lapses)) {
+                const Consensus &consensus = *journal_->consensus();
                 logWarning(lapses ? "leader.lease_lapsed" : "leader.lease_lapse_over",
-                    {{"term", journal_->consensus()->term().value()}});
+                    {{"term", consensus.term().value()},
+                        {"acknowledged_ms",
+                            static_cast<std::uint64_t>(consensus.quorumSilence().count())}});
             }
             if (journal_->leads()) {
                 refreshLeadership();
