A leader without its lease lets calls wait, and sends nobody away to come back at once

Cause: a call that came during a lapse was decoded and answered with a redirect to the same VM; its caller asked again 50 ms later. Change: while this VM is the leader of its term and may not answer, calls wait for their turn. Evidence: test/callturns.cpp.

--- a/include/crocusmill/callqueue.h
+++ b/include/crocusmill/callqueue.h
@@ -61,6 +61,9 @@
     /// The call whose turn it is.
     [[nodiscard]] std::optional<Turn> next(MonotonicTime now);
 
+    /// Nothing had a turn for a reason that says nothing of what turns cost.
+    void stoodStill();
+
     [[nodiscard]] std::size_t size() const;
     /// Until a call of this class that comes now would have its turn.
     [[nodiscard]] Microseconds expectedWait(CallClass callClass, MonotonicTime now) const;
--- a/src/admission/callqueue.cpp
+++ b/src/admission/callqueue.cpp
@@ -96,6 +96,11 @@
     return questionLast_ ? CallClass::Question : CallClass::Submission;
 }
 
+void CallQueue::stoodStill()
+{
+    lastTurn_.reset();
+}
+
 std::size_t CallQueue::size() const
 {
     std::size_t size = 0;
--- a/src/services/callturns.cpp
+++ b/src/services/callturns.cpp
@@ -11,6 +11,8 @@
 namespace
 {
 
+/// Until calls that are held back are looked at again: the journal's clock.
+constexpr Milliseconds holdInterval {10};
 /// Between two records of calls that were not handled.
 constexpr Milliseconds recordInterval {1'000};
 
@@ -18,9 +20,15 @@
 
 CallTurns::CallTurns(asio::io_context &control)
     : control_(control)
+    , held_(control)
 {
 }
 
+void CallTurns::holdWhile(std::function<bool()> condition)
+{
+    holds_ = std::move(condition);
+}
+
 void CallTurns::add(CallClass callClass, Milliseconds limit, Work work)
 {
     if (stopped_) {
@@ -43,6 +51,8 @@
 void CallTurns::stop()
 {
     stopped_ = true;
+    holds_ = nullptr;
+    held_.cancel();
     queue_ = {};
     waiting_.clear();
 }
@@ -61,8 +71,25 @@
     });
 }
 
+void CallTurns::scheduleLater()
+{
+    scheduled_ = true;
+    held_.expires_after(holdInterval);
+    held_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            scheduled_ = false;
+            schedule();
+        }
+    });
+}
+
 void CallTurns::takeTurn()
 {
+    if (holds_ && holds_()) {
+        queue_.stoodStill();
+        scheduleLater();
+        return;
+    }
     const MonotonicTime began = monotonicNow();
     const std::weak_ptr<bool> alive = alive_;
     takeTurnUntil(
--- a/src/services/callturns.h
+++ b/src/services/callturns.h
@@ -34,6 +34,8 @@
 
     /// `limit`: how long the caller waits from now on.
     void add(CallClass callClass, Milliseconds limit, Work work);
+    /// Nothing has its turn while `condition` holds; it is looked at every few milliseconds.
+    void holdWhile(std::function<bool()> condition);
     /// Forgets what waits, and drops what comes from now on.
     void stop();
 
@@ -47,11 +49,14 @@
     };
 
     void schedule();
+    void scheduleLater();
     void takeTurn();
     void takeTurnUntil(MonotonicTime until);
     void record(MonotonicTime now);
 
     asio::io_context &control_;
+    asio::steady_timer held_;
+    std::function<bool()> holds_;
     CallQueue queue_;
     std::map<std::uint64_t, Work> waiting_; // what is in queue_, by its id
     std::uint64_t lastId_ = 0;
--- a/src/services/clientservice.cpp
+++ b/src/services/clientservice.cpp
@@ -158,7 +158,7 @@
         }
         pending->asked.clear();
         const NodeAddress to = target();
-        if (to == self_ && !journal_->leads()) {
+        if (to == self_ && !isLeader()) {
             forget(to);
             again(pending);
             return;
@@ -230,7 +230,7 @@
 
     void askAnother(const PendingPtr &pending)
     {
-        if (journal_->leads() && pending->open.contains(self_)) {
+        if (isLeader() && pending->open.contains(self_)) {
             return;
         }
         if (known_ && *known_ != self_ && !pending->open.contains(*known_)) {
@@ -258,9 +258,15 @@
         return std::nullopt;
     }
 
+    /// This VM leads, or will when it holds the lease again.
+    bool isLeader() const
+    {
+        return journal_->leads() || journal_->leader() == self_;
+    }
+
     NodeAddress target()
     {
-        if (journal_->leads()) {
+        if (isLeader()) {
             return self_;
         }
         if (known_) {
--- a/src/services/interfaces.h
+++ b/src/services/interfaces.h
@@ -54,6 +54,10 @@
 
     virtual void onMessage(std::function<void(const Message &)> handler) = 0;
     virtual void onCall(std::function<void(const Call &, ReplyHandler)> handler) = 0;
+    /// Calls keep waiting for their turn while `condition` holds.
+    virtual void holdCallsWhile(std::function<bool()> /*condition*/)
+    {
+    }
 };
 
 using ProposeHandler = std::function<void(Result<ApplyReply>)>;
--- a/src/services/peerservice.cpp
+++ b/src/services/peerservice.cpp
@@ -97,6 +97,11 @@
         handlers_->call = std::move(handler);
     }
 
+    void holdCallsWhile(std::function<bool()> condition) override
+    {
+        handlers_->turns->holdWhile(std::move(condition));
+    }
+
 private:
     /// In the same row as other VMs' calls.
     void callSelf(const Call &call, Milliseconds timeout, const ReplyHandler &done)
--- a/test/callturns.cpp
+++ b/test/callturns.cpp
@@ -97,6 +97,33 @@
     turns.stop();
 }
 
+TEST_CASE("calls that are held back have their turn afterwards")
+{
+    asio::io_context control;
+    CallTurns turns {control};
+    bool holds = true;
+    turns.holdWhile([&holds]() { return holds; });
+    int handled = 0;
+    bool refused = false;
+    constexpr int many = 50;
+    const auto addMany = [&]() {
+        for (int i = 0; i < many; ++i) {
+            turns.add(CallClass::Submission, patience,
+                {[&handled]() { ++handled; }, [&refused](Milliseconds /*wait*/) { refused = true; },
+                    []() {
+                    }});
+        }
+    };
+    addMany();
+    control.run_for(Milliseconds {100});
+    CHECK(handled == 0);
+    addMany();
+    holds = false;
+    control.run_for(Milliseconds {100});
+    CHECK(handled == 2 * many);
+    CHECK_FALSE(refused);
+}
+
 TEST_CASE("after the stop nothing is handled")
 {
     asio::io_context control;
