--- a/bench/peermessages.cpp
+++ b/bench/peermessages.cpp
@@ -13,6 +13,7 @@
 
 #include <ctime>
 #include <future>
+#include <semaphore>
 #include <string>
 #include <thread>
 
@@ -200,7 +201,12 @@
                 service_.reset();
             });
         }};
-        onLoop([this]() { static_cast<void>(service_->start(kernel_)); });
+        std::binary_semaphore listens {0};
+        onLoop([this, &listens]() {
+            static_cast<void>(service_->start(kernel_));
+            listens.release();
+        });
+        listens.acquire();
     }
 
     void onLoop(std::function<void()> work)
@@ -252,7 +258,7 @@
     server.run();
     int left = 0;
     int open = 0;
-    std::promise<void> finished;
+    std::binary_semaphore finished {0};
     std::function<void()> next = [&]() {
         --left;
         ++open;
@@ -261,12 +267,11 @@
             if (left > 0) {
                 next();
             } else if (open == 0) {
-                finished.set_value();
+                finished.release();
             }
         });
     };
     const auto round = [&](int count) {
-        finished = {};
         client.onLoop([&, count]() {
             left = count;
             const std::int64_t together = state.range(0);
@@ -274,7 +279,7 @@
                 next();
             }
         });
-        finished.get_future().wait();
+        finished.acquire();
     };
     round(1);
     const double clientBefore = client.used();
@@ -298,7 +303,7 @@
     const Message accepted {
         ReplicaId {2}, ReplicaId {1}, Term {1}, AppendReply {true, LogIndex {1}, {}, 0}};
     int left = 0;
-    std::promise<void> finished;
+    std::binary_semaphore finished {0};
     follower.peers().onMessage(
         [&](const Message &) { follower.peers().deliver(leader.address(), accepted); });
     leader.peers().onMessage([&](const Message &) {
@@ -306,7 +311,7 @@
             return;
         }
         if (--left == 0) {
-            finished.set_value();
+            finished.release();
         } else {
             leader.peers().deliver(follower.address(), append);
         }
@@ -333,12 +338,11 @@
     const double followerBefore = follower.used();
     std::int64_t messages = 0;
     for ([[maybe_unused]] const auto step : state) {
-        finished = {};
         leader.onLoop([&]() {
             left = messagesPerRound;
             leader.peers().deliver(follower.address(), append);
         });
-        finished.get_future().wait();
+        finished.acquire();
         messages += messagesPerRound;
     }
     reportShares(state, leader.used() - leaderBefore, follower.used() - followerBefore, messages);
