Test of runs: an end that was listed in steady state counts, and leaders that cannot hear

The test had no such leaders, and took an end for known only once it was acknowledged. Starts are judged when all is over, since an end may be noted later than a start.

--- a/test/fakes/runrules.h
+++ b/test/fakes/runrules.h
@@ -4,6 +4,7 @@
 
 #include "src/services/workerlink.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -45,9 +46,6 @@
             }
         }
         starts_[task].push_back({run, now});
-        for (const End &end : ends_[task]) {
-            judgeStartAfter(end, run, now);
-        }
         judgeOrder(task, run);
         const auto cancelled = cancelledAt_.find(task.graph);
         if (cancelled != cancelledAt_.end() && sent > cancelled->second + cancelLimit) {
@@ -61,7 +59,7 @@
         MonotonicTime now)
     {
         running_.erase({task, run});
-        ends_[task].push_back({task, run, process, number, end, now, std::nullopt});
+        ends_[task].push_back({task, run, process, number, end, now, std::nullopt, std::nullopt});
         if (end == RunEnd::Succeeded) {
             succeeded_.insert(task);
         }
@@ -78,24 +76,46 @@
         lapses_[process].push_back(now);
     }
 
+    /// Faults beside the control loop's own slowness; ends listed near one need not be noted.
+    void disturbed(MonotonicTime now)
+    {
+        disturbances_.push_back(now);
+    }
+
+    /// A process listed these ends in an answer. Without a disturbance near, they count as noted.
+    void listed(Process process, const std::vector<ListedEnd> &ends, MonotonicTime now)
+    {
+        for (const ListedEnd &listed : ends) {
+            for (End &end : ends_[listed.task]) {
+                if (end.process == process && end.number == listed.number && !end.listed) {
+                    end.listed = now;
+                }
+            }
+        }
+    }
+
     /// A leader told the process to forget ends up to this one.
     void acknowledged(Process process, EndNumber upTo, MonotonicTime now)
     {
         for (auto &[task, ends] : ends_) {
             for (End &end : ends) {
-                if (end.process != process || end.number > upTo || end.acknowledged) {
-                    continue;
-                }
-                end.acknowledged = now;
-                for (const Start &start : starts_[task]) {
-                    if (start.at > end.at) {
-                        judgeStartAfter(end, start.run, start.at);
-                    }
+                if (end.process == process && end.number <= upTo && !end.acknowledged) {
+                    end.acknowledged = now;
                 }
             }
         }
     }
 
+    /// What can be said of starts only once all is over, since an end may be noted later.
+    void judgeStarts()
+    {
+        for (const auto &[task, starts] : starts_) {
+            for (const Start &start : starts) {
+                judgeStart(task, start);
+            }
+        }
+    }
+
     [[nodiscard]] const StepSpec &specOf(const TaskRef &task) const
     {
         return specs_.at(task.graph).steps[task.step];
@@ -144,49 +164,58 @@
         EndNumber number;
         RunEnd end;
         MonotonicTime at;
+        std::optional<MonotonicTime> listed;
         std::optional<MonotonicTime> acknowledged;
     };
 
     static constexpr Milliseconds cancelLimit {3'000};
+    static constexpr Milliseconds disturbanceLasts {3'000};
+    static constexpr Milliseconds noteLimit {100};
 
     static std::string runText(RunNumber run)
     {
         return std::to_string(run.value());
     }
 
-    /// Acknowledged while the process held its lease all along.
+    [[nodiscard]] bool isCalm(MonotonicTime at) const
+    {
+        return std::none_of(
+            disturbances_.begin(), disturbances_.end(), [at](const MonotonicTime &disturbance) {
+                return disturbance > at - disturbanceLasts && disturbance < at + disturbanceLasts;
+            });
+    }
+
+    /// While the process held its lease all along.
     [[nodiscard]] bool isNoted(const End &end) const
     {
-        const auto lapses = lapses_.find(end.process);
-        if (!end.acknowledged || lapses == lapses_.end()) {
-            return end.acknowledged.has_value();
+        std::optional<MonotonicTime> noted = end.acknowledged;
+        if (end.listed && isCalm(*end.listed)) {
+            noted = noted ? std::min(*noted, *end.listed + noteLimit) : *end.listed + noteLimit;
         }
-        for (const MonotonicTime lapse : lapses->second) {
-            if (lapse >= end.at && lapse <= *end.acknowledged) {
-                return false;
-            }
+        const auto lapses = lapses_.find(end.process);
+        if (!noted || lapses == lapses_.end()) {
+            return noted.has_value();
         }
-        return true;
+        return std::none_of(lapses->second.begin(), lapses->second.end(),
+            [&](const MonotonicTime &lapse) { return lapse >= end.at && lapse <= *noted; });
     }
 
-    void judgeStartAfter(const End &end, RunNumber run, MonotonicTime startedAt)
+    void judgeStart(const TaskRef &task, const Start &start)
     {
-        if (!isNoted(end)) {
-            return;
-        }
-        if (end.end == RunEnd::Succeeded) {
-            broken("TWICE", end.task, run, "after run " + runText(end.run) + " had succeeded");
-        }
-        // Failures of a gang's members in one run are one.
         std::set<RunNumber> failed;
-        const GraphSpec &spec = specs_.at(end.task.graph);
-        for (const End &other : ends_[end.task]) {
-            if (other.end == RunEnd::Failed && other.at < startedAt && isNoted(other)) {
-                failed.insert(other.run);
+        for (const End &end : ends_[task]) {
+            if (end.at >= start.at || !isNoted(end)) {
+                continue;
+            }
+            if (end.end == RunEnd::Succeeded) {
+                broken(
+                    "TWICE", task, start.run, "after run " + runText(end.run) + " had succeeded");
+            } else if (end.end == RunEnd::Failed) {
+                failed.insert(end.run);
             }
         }
-        if (end.end == RunEnd::Failed && failed.size() >= spec.attempts) {
-            broken("BUDGET", end.task, run, std::to_string(failed.size()) + " runs had failed");
+        if (failed.size() >= specs_.at(task.graph).attempts) {
+            broken("BUDGET", task, start.run, std::to_string(failed.size()) + " runs had failed");
         }
     }
 
@@ -211,6 +240,7 @@
     std::map<TaskRef, std::vector<End>> ends_;
     std::set<TaskRef> succeeded_;
     std::map<Process, std::vector<MonotonicTime>> lapses_;
+    std::vector<MonotonicTime> disturbances_;
     std::vector<std::string> broken_;
 };
 
--- a/test/fakes/simulatedleader.h
+++ b/test/fakes/simulatedleader.h
@@ -180,6 +180,11 @@
         });
     }
 
+    [[nodiscard]] bool mayOrder() const
+    {
+        return !deposed_ && simulation_.now() >= lapsedUntil_;
+    }
+
     [[nodiscard]] bool leads() const
     {
         return !deposed_;
@@ -222,11 +227,6 @@
     static constexpr Milliseconds tickPause {25};
     static constexpr Milliseconds wakePause {4};
 
-    [[nodiscard]] bool mayOrder() const
-    {
-        return !deposed_ && simulation_.now() >= lapsedUntil_;
-    }
-
     /// One answer, or none in time. A loop that comes to both late may take either first.
     template <typename Answer>
     std::function<void(const Answer &)> limited(
--- a/test/fakes/simulatedworkers.h
+++ b/test/fakes/simulatedworkers.h
@@ -158,6 +158,9 @@
             const auto report = [this, id, mute, reply, number = process.number]() {
                 Process &reporting = processes_[id];
                 if (isAlive(reporting, number)) {
+                    if (!mute) {
+                        rules_.listed(reporting.number, reporting.ends, simulation_.now());
+                    }
                     answer<HoldOutcome>(reporting, mute, reply, reportOf(reporting));
                 }
             };
--- a/test/runrules.cpp
+++ b/test/runrules.cpp
@@ -46,6 +46,7 @@
         scheduleFault();
         simulation_.runUntil(simulation_.now() + faultsLast + calmLasts);
         checkAllOver();
+        rules_.judgeStarts();
         return rules_.brokenRules();
     }
 
@@ -112,7 +113,7 @@
     void hear(const WorkerHeartbeat &heartbeat, bool leaves)
     {
         const std::shared_ptr<SimulatedLeader> leader = leader_;
-        if (!leader) {
+        if (!leader || !leader->mayOrder()) {
             return;
         }
         leader->post([this, leader, heartbeat, leaves]() {
@@ -138,10 +139,10 @@
     {
         const std::shared_ptr<SimulatedLeader> last = leader_;
         leader_.reset();
-        const std::vector<WorkerHeartbeat> known = simulation_.chance(60)
-            ? last->supervisor->heardLately()
-            : std::vector<WorkerHeartbeat> {};
-        if (simulation_.chance(40)) {
+        std::vector<WorkerHeartbeat> known = last->supervisor->heardLately();
+        std::erase_if(known, [this](const WorkerHeartbeat &) { return simulation_.chance(50); });
+        if (simulation_.chance(30)) {
+            rules_.disturbed(simulation_.now());
             last->losePower();
         } else {
             last->depose();
@@ -151,6 +152,7 @@
 
     void scheduleFault()
     {
+        overloaded_ = simulation_.chance(10) ? !overloaded_ : overloaded_;
         simulation_.after(simulation_.between(200, 2'500), [this]() {
             if (simulation_.now() < start_ + faultsLast) {
                 fault();
@@ -165,7 +167,12 @@
         const WorkerId worker = alive.empty() ? WorkerId {"w1"}
                                               : alive[static_cast<std::size_t>(simulation_.number(
                                                   0, static_cast<int>(alive.size()) - 1))];
-        switch (simulation_.number(0, 9)) {
+        // Overload lasts; the rest comes alone.
+        const int kind = simulation_.number(0, overloaded_ ? 4 : 9);
+        if (kind > 4) {
+            rules_.disturbed(simulation_.now());
+        }
+        switch (kind) {
         case 0:
         case 1:
             if (leader_) {
@@ -179,7 +186,7 @@
             break;
         case 3:
             if (leader_) {
-                leader_->lapse(simulation_.between(100, 1'500));
+                leader_->lapse(simulation_.between(100, 7'000));
             }
             break;
         case 4:
@@ -236,6 +243,7 @@
     SimulatedWorkers workers_ {simulation_, rules_};
     std::shared_ptr<SimulatedLeader> leader_; // null while there is none
     std::vector<std::shared_ptr<SimulatedLeader>> leaders_;
+    bool overloaded_ = simulation_.chance(40); // nothing but the leaders' slowness is wrong
     std::uint64_t term_ = 0;
     int workersEver_ = 0;
     int jobsEver_ = 0;
