A leader that could not hear gives no run up for want of word

Callers of the grown sites saw tasks started twice. Class: silence is taken for evidence, though the one who listened was deaf. A lease that has passed proves that a run is over and not how it ended.

A call that is over long after its limit says nothing about its worker: it is sent again with a lease, where two of them took the leases of all workers away.

Oracle: what a process listed and took along before anyone took note of it, nobody can know.

--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -28,7 +28,8 @@
     order.fence = parts_.fence;
     // A later process under the same id would forget ends of its own: only one that has just
     // answered is told.
-    if (worker.unanswered == 0) {
+    const Milliseconds justNow = parts_.times.holdWait + parts_.times.answerLimit;
+    if (worker.answers && now - worker.answered <= justNow) {
         order.acknowledged = worker.recorded;
     }
     // A worker that does not answer, or leaves, is given no more leases, so that its runs are over
@@ -41,13 +42,38 @@
         ? Milliseconds {0}
         : parts_.times.holdWait;
     worker.holding = true;
-    parts_.link.hold(endpointOf(worker), order, order.wait + parts_.times.answerLimit,
-        [self = shared_from_this(), id, incarnation = worker.heartbeat.incarnation, now](
-            const HoldOutcome &outcome) { self->holdAnswered(id, incarnation, outcome, now); });
+    const Milliseconds limit = order.wait + parts_.times.answerLimit;
+    parts_.link.hold(endpointOf(worker), order, limit,
+        [self = shared_from_this(), id, incarnation = worker.heartbeat.incarnation, now, limit](
+            const HoldOutcome &outcome) {
+            self->holdAnswered(id, incarnation, outcome, now, limit);
+        });
+}
+
+void RunSupervisor::holdFailed(
+    const WorkerId &id, Worker &worker, HoldError error, MonotonicTime sent, Milliseconds limit)
+{
+    const MonotonicTime now = parts_.clock();
+    worker.answers = false;
+    if (now - sent > limit + parts_.times.lateness) {
+        worker.nextHold = now; // this VM stood still: the answer may have been there in time
+        return;
+    }
+    worker.gone = worker.gone
+        || (worker.leavesAt && error == HoldError::NotConnected
+            && now - sent < parts_.times.refusal);
+    ++worker.unanswered;
+    worker.askedInVain = sent;
+    worker.nextHold = now + holdRetryPause;
+    if (worker.unanswered == 1) {
+        logWarning(
+            "worker.unanswered", {{"worker", id.value()}, {"fenced", error == HoldError::Fenced}});
+    }
+    fleet_.setOpen(id, isOpen(worker, now));
 }
 
 void RunSupervisor::holdAnswered(const WorkerId &id, const Incarnation &incarnation,
-    const HoldOutcome &outcome, MonotonicTime sent)
+    const HoldOutcome &outcome, MonotonicTime sent, Milliseconds limit)
 {
     const auto found = workers_.find(id);
     if (retired_ || found == workers_.end() || found->second.heartbeat.incarnation != incarnation) {
@@ -77,16 +103,7 @@
         return;
     }
     if (outcome.error) {
-        worker.gone = worker.gone
-            || (worker.leavesAt && outcome.error == HoldError::NotConnected
-                && now - sent < parts_.times.refusal);
-        ++worker.unanswered;
-        worker.nextHold = now + holdRetryPause;
-        if (worker.unanswered == 1) {
-            logWarning("worker.unanswered",
-                {{"worker", id.value()}, {"fenced", outcome.error == HoldError::Fenced}});
-        }
-        fleet_.setOpen(id, isOpen(worker, now));
+        holdFailed(id, worker, *outcome.error, sent, limit);
         return;
     }
     if (worker.unanswered > 0) {
@@ -94,6 +111,7 @@
             {{"worker", id.value()}, {"missed", std::uint64_t {worker.unanswered}}});
     }
     worker.unanswered = 0;
+    worker.answers = now - sent <= limit;
     worker.answered = sent;
     worker.nextHold = now;
     fleet_.setOpen(id, isOpen(worker, now));
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -20,6 +20,8 @@
 RunSupervisor::RunSupervisor(Parts parts, MonotonicTime now)
     : parts_(std::move(parts))
     , now_(now)
+    , ticked_(now)
+    , inStepSince_(now)
     , inheritedLeases_(now + longestLease())
 {
 }
@@ -174,6 +176,10 @@
 
 void RunSupervisor::tick(MonotonicTime now, WallTime wall)
 {
+    if (now - ticked_ > parts_.times.standstill) {
+        inStepSince_ = now;
+    }
+    ticked_ = now;
     now_ = now;
     wall_ = wall;
     if (now >= sweepDue_) {
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -47,6 +47,10 @@
     /// How often every run and every worker is looked at. Runs that wait for an order are looked at
     /// in each round.
     Milliseconds sweep {100};
+    /// Rounds further apart than this show that this VM stood still, or could not hear workers.
+    Milliseconds standstill {500};
+    /// A call that is over later than this after its limit says nothing about its worker.
+    Milliseconds lateness {200};
     /// A worker that said that it leaves, and has no runs, is forgotten after this.
     Milliseconds departure {1'000};
     /// A connection that fails sooner was refused; one that is not answered fails later.
@@ -146,6 +150,8 @@
         bool holding = false;
         MonotonicTime nextHold {};
         std::uint32_t unanswered = 0; // holds in a row
+        bool answers = false; // the newest hold that is over was answered, and in time
+        MonotonicTime askedInVain {}; // when the newest of them was sent
         EndNumber recorded; // ends up to this one are in the journal
         std::set<TaskRef> runs;
         std::optional<MonotonicTime> leavesAt; // it said that it leaves
@@ -171,6 +177,7 @@
     void updateFleet(const Worker &worker, MonotonicTime now);
     [[nodiscard]] bool isOpen(const Worker &worker, MonotonicTime now) const;
     [[nodiscard]] Milliseconds longestLease() const;
+    [[nodiscard]] bool isSilent(const Worker &worker, MonotonicTime now) const;
     [[nodiscard]] bool isTrusted(const Worker &worker, MonotonicTime now) const;
     [[nodiscard]] std::optional<WorkerTime> lease(Worker &worker, MonotonicTime now);
 
@@ -184,8 +191,10 @@
     [[nodiscard]] bool gangIsBroken(const Graph &graph, const TaskRef &task, const Run &run) const;
 
     void hold(const WorkerId &id, Worker &worker, MonotonicTime now);
+    void holdFailed(const WorkerId &id, Worker &worker, HoldError error, MonotonicTime sent,
+        Milliseconds limit);
     void holdAnswered(const WorkerId &id, const Incarnation &incarnation,
-        const HoldOutcome &outcome, MonotonicTime sent);
+        const HoldOutcome &outcome, MonotonicTime sent, Milliseconds limit);
     void takeReport(
         const WorkerId &id, Worker &worker, const HoldReport &report, MonotonicTime sent);
     void takeRunning(const WorkerId &id, Worker &worker, const ListedRun &listed);
@@ -226,6 +235,8 @@
     bool retired_ = false;
     MonotonicTime now_;
     WallTime wall_ {};
+    MonotonicTime ticked_;
+    MonotonicTime inStepSince_; // this VM has led and has not stood still
     MonotonicTime inheritedLeases_; // when every lease of earlier leaders is over
     Fleet fleet_;
     WorkerHealth health_;
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -101,6 +101,7 @@
     worker.leaseOver = worker.known ? now + longestLease() : inheritedLeases_;
     worker.answered = {};
     worker.unanswered = 0;
+    worker.answers = false;
     worker.recorded = {};
     worker.holding = false;
     worker.nextHold = now;
@@ -150,6 +151,16 @@
     updateFleet(found->second, now);
 }
 
+/// It was looked for since this VM can hear it. A lease that has passed proves that a run is over,
+/// and not how it ended: a worker that can be reached still lists that.
+bool RunSupervisor::isSilent(const Worker &worker, MonotonicTime now) const
+{
+    if (!worker.known) {
+        return now - inStepSince_ >= parts_.times.trust;
+    }
+    return worker.unanswered > 0 && worker.askedInVain >= inStepSince_;
+}
+
 bool RunSupervisor::isTrusted(const Worker &worker, MonotonicTime now) const
 {
     return worker.known && !worker.leavesAt && worker.unanswered == 0
@@ -197,7 +208,8 @@
         hold(id, worker, now);
     }
     // Its word that it leaves is no proof: without an acknowledgement it goes on for a while.
-    if (worker.gone || now >= worker.leaseOver) {
+    const bool leaseOver = now >= worker.leaseOver && isSilent(worker, now);
+    if (worker.gone || leaseOver) {
         std::vector<EndedRun> lost;
         for (const TaskRef &task : worker.runs) {
             const Run &run = runs_.at(task);
--- a/test/fakes/simulatedworkers.h
+++ b/test/fakes/simulatedworkers.h
@@ -70,6 +70,7 @@
             simulation_.after(acknowledged ? Milliseconds {60} : simulation_.between(1'500, 4'000),
                 [this, id, number]() {
                     if (isAlive(processes_.at(id), number)) {
+                        rules_.disturbed(simulation_.now()); // what it listed last may be lost
                         crash(id);
                     }
                 });
