--- a/test/fakes/simulatedworkers.h
+++ b/test/fakes/simulatedworkers.h
@@ -70,6 +70,7 @@
             simulation_.after(acknowledged ? Milliseconds {60} : simulation_.between(1'500, 4'000),
                 [this, id, number]() {
                     if (isAlive(processes_.at(id), number)) {
+                        rules_.disturbed(simulation_.now()); // what it listed last may be lost
                         crash(id);
                     }
                 });
@@ -158,6 +159,9 @@
             const auto report = [this, id, mute, reply, number = process.number]() {
                 Process &reporting = processes_[id];
                 if (isAlive(reporting, number)) {
+                    if (!mute) {
+                        rules_.listed(reporting.number, reporting.ends, simulation_.now());
+                    }
                     answer<HoldOutcome>(reporting, mute, reply, reportOf(reporting));
                 }
             };
