--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -282,6 +282,10 @@
 
     asio::awaitable<HttpResponse> handleWatched(HttpRequest request)
     {
+        if (!server_.handler_.watchesCallers()) {
+            stream_.expires_never();
+            co_return co_await server_.handler_.handle(std::move(request), nullptr);
+        }
         const std::shared_ptr<CallerWatch> watch = std::make_shared<CallerWatch>();
         stream_.expires_never();
         Tcp::socket &socket = stream_.socket();
@@ -303,9 +307,17 @@
     asio::awaitable<bool> write(HttpResponse response)
     {
         response.prepare_payload();
-        stream_.expires_after(server_.limits_.idle);
+        http::response_serializer<http::string_body> serializer {response};
         boost::system::error_code error;
-        co_await http::async_write(stream_, response, errorInto(error));
+        // Most answers fit into what the socket takes at once.
+        stream_.socket().non_blocking(true, error);
+        while (!error && !serializer.is_done()) {
+            http::write_some(stream_.socket(), serializer, error);
+        }
+        if (error == asio::error::would_block) {
+            stream_.expires_after(server_.limits_.idle);
+            co_await http::async_write(stream_, serializer, errorInto(error));
+        }
         co_return !error;
     }
 
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -56,6 +56,12 @@
     /// Runs on the traffic thread of the connection.
     [[nodiscard]] virtual asio::awaitable<HttpResponse> handle(
         HttpRequest request, std::shared_ptr<CallerWatch> watch) = 0;
+
+    /// False: `watch` is null, and nobody looks whether callers hang up.
+    [[nodiscard]] virtual bool watchesCallers() const
+    {
+        return true;
+    }
 };
 
 struct HttpLimits
