--- a/src/wire/json.h
+++ b/src/wire/json.h
@@ -93,12 +93,15 @@
 namespace crocusmill
 {
 
+/// Values nested deeper are refused.
+inline constexpr std::size_t mostNestedJson = 32;
+
 /// Bodies are arbitrary bytes, so invalid UTF-8 passes through strings unchanged.
 [[nodiscard]] inline boost::json::parse_options byteTransparent()
 {
     boost::json::parse_options options;
     options.allow_invalid_utf8 = true;
-    options.max_depth = 32;
+    options.max_depth = mostNestedJson;
     return options;
 }
 
