--- a/include/crocusmill/graphbook.h
+++ b/include/crocusmill/graphbook.h
@@ -21,7 +21,7 @@
 struct GraphTask
 {
     TaskPhase phase = TaskPhase::Waiting;
-    RunNumber run; // newest; zero: never placed
+    RunNumber run; // newest, or the one that succeeded; zero: never placed
     std::vector<RunNumber> failed; // runs that ended so, each once
     WorkerId worker; // of the newest run
     Incarnation incarnation;
@@ -88,6 +88,7 @@
     [[nodiscard]] bool gangIsWhole(
         const std::vector<RunPlacement> &placements, const RunPlacement &member) const;
     static void endRun(Graph &graph, const EndedRun &ended);
+    static void succeedRun(Graph &graph, const EndedRun &ended);
     static void failRun(Graph &graph, const EndedRun &ended);
     void settle(Graph &graph, WallTime at);
     void close(Graph &graph, GraphState state, WallTime at);
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -109,6 +109,10 @@
         endRuns({overAs(found->second, RunEnd::NotStarted)}, OverBy::WorkerReplaced);
         return;
     }
+    if (!isWanted(task, found->second)) {
+        endRuns({overAs(found->second, RunEnd::NotStarted)}, OverBy::NeverOrdered);
+        return;
+    }
     sendStart(task, found->second, now);
 }
 
@@ -248,6 +252,12 @@
         || graph->state == GraphState::Cancelled) {
         return false;
     }
+    const GraphTask *recorded = graph->find(task);
+    const bool current = recorded != nullptr && recorded->run == run.placement.run
+        && (recorded->phase == TaskPhase::Placed || recorded->phase == TaskPhase::Succeeded);
+    if (!current) {
+        return false; // it was given up, or an earlier run has succeeded after all
+    }
     return !gangIsBroken(*graph, task, run);
 }
 
--- a/src/state/graphbook.cpp
+++ b/src/state/graphbook.cpp
@@ -200,27 +200,36 @@
     if (ended.end == RunEnd::Failed) {
         failRun(graph, ended); // also an older run, which was given up as lost
     }
+    const StepSpec &spec = graph.spec.steps[ended.task.step];
+    if (ended.end == RunEnd::Succeeded && !spec.lasting && ended.run <= task->run) {
+        succeedRun(graph, ended);
+        return;
+    }
     const bool current = task->run == ended.run
         && (task->phase == TaskPhase::Placed || task->phase == TaskPhase::Waiting);
     if (!current) {
         return;
     }
-    const StepSpec &spec = graph.spec.steps[ended.task.step];
-    GraphStep &step = graph.occurrences[ended.task.occurrence].steps[ended.task.step];
     if (!ended.saved.value().empty()) {
         task->saved = ended.saved;
     }
-    if (ended.end == RunEnd::Succeeded && !spec.lasting) {
-        task->phase = TaskPhase::Succeeded;
-        for (GraphTask &member : step.tasks) {
-            // The members of a gang end together.
-            const bool together = spec.gang && member.run == ended.run
-                && member.phase != TaskPhase::Succeeded && member.phase != TaskPhase::GivenUp;
-            member.phase = together ? TaskPhase::Succeeded : member.phase;
+    task->phase = graph.state == GraphState::Open ? TaskPhase::Waiting : TaskPhase::GivenUp;
+}
+
+/// Also of an older run, which was given up as lost: the newer one is of no use any more. The
+/// members of a gang succeed together.
+void GraphBook::succeedRun(Graph &graph, const EndedRun &ended)
+{
+    const bool gang = graph.spec.steps[ended.task.step].gang;
+    GraphStep &step = graph.occurrences[ended.task.occurrence].steps[ended.task.step];
+    for (std::uint32_t number = 0; number < step.tasks.size(); ++number) {
+        GraphTask &task = step.tasks[number];
+        const bool open = task.phase == TaskPhase::Placed || task.phase == TaskPhase::Waiting;
+        if (open && ended.run <= task.run && (gang || number == ended.task.task)) {
+            task.phase = TaskPhase::Succeeded;
+            task.run = ended.run;
         }
-        return;
     }
-    task->phase = graph.state == GraphState::Open ? TaskPhase::Waiting : TaskPhase::GivenUp;
 }
 
 /// Closes a job whose fate is decided.
--- a/test/graphbook.cpp
+++ b/test/graphbook.cpp
@@ -98,6 +98,25 @@
     CHECK(stateOf(book) == GraphState::Succeeded);
 }
 
+TEST_CASE("a success of a run that was given up too soon is not thrown away")
+{
+    const bool isGang = GENERATE(false, true);
+    StepSpec step = stepOf(2);
+    step.gang = isGang;
+    GraphBook book;
+    book.submit({graphOf("g", {step}), now});
+    book.place({{placed(task(0, 0), 1), placed(task(0, 1), 1)}});
+    book.end({{ended(task(0, 0), 1, RunEnd::Lost), ended(task(0, 1), 1, RunEnd::Lost)}, now});
+    book.place({{placed(task(0, 0), 2), placed(task(0, 1), 2)}});
+    book.end({{ended(task(0, 0), 1, RunEnd::Succeeded)}, now});
+    CHECK(phaseOf(book, task(0, 0)) == TaskPhase::Succeeded);
+    CHECK(book.find(GraphId {"g"})->find(task(0, 0))->run == RunNumber {1}); // run 2 has no use
+    CHECK((phaseOf(book, task(0, 1)) == TaskPhase::Succeeded) == isGang);
+    book.end(
+        {{ended(task(0, 0), 2, RunEnd::Stopped), ended(task(0, 1), 1, RunEnd::Succeeded)}, now});
+    CHECK(stateOf(book) == GraphState::Succeeded);
+}
+
 TEST_CASE("each failed run counts once, also one that was given up as lost")
 {
     GraphBook book;
--- a/test/runsupervisor.cpp
+++ b/test/runsupervisor.cpp
@@ -390,6 +390,34 @@
     CHECK_FALSE(bench.supervisor->hasRun(task));
 }
 
+TEST_CASE("a run whose task has succeeded in an earlier one is not started, or is stopped")
+{
+    Bench bench;
+    bench.state.apply(EndRuns {{{task, RunNumber {1}, RunEnd::Lost, {}}}, wall}, LogIndex {3});
+    bench.record(1);
+    bench.state.apply(EndRuns {{{task, RunNumber {1}, RunEnd::Lost, {}}}, wall}, LogIndex {4});
+    bench.hear();
+    bench.link.answerHold({});
+    bench.supervisor->reserve({task, RunNumber {2}, worker, first}, stepOf(1));
+    bench.record(2);
+    const Command late = EndRuns {{{task, RunNumber {1}, RunEnd::Succeeded, {}}}, wall};
+    SECTION("before its start")
+    {
+        bench.state.apply(late, LogIndex {++bench.index});
+        bench.supervisor->start(task, std::nullopt, monotonicNow());
+        CHECK(bench.link.starts.empty());
+        CHECK_FALSE(bench.supervisor->hasRun(task));
+    }
+    SECTION("while it runs")
+    {
+        bench.supervisor->start(task, std::nullopt, monotonicNow());
+        bench.link.answerStart(StartOutcome::Started);
+        bench.state.apply(late, LogIndex {++bench.index});
+        bench.tick(Milliseconds {100});
+        CHECK(bench.link.stops.size() == 1);
+    }
+}
+
 TEST_CASE("a VM that leads no more gives no orders and renews no leases")
 {
     Bench bench;
