--- a/support/check_models.sh
+++ b/support/check_models.sh
@@ -36,5 +36,8 @@
 check lease LATE_RECORD
 check startonce SEND_FIRST
 check startonce HELD_UP
+check leaserun DEAF_GIVES_UP
+check leaserun LEFT_IS_GONE
+check leaserun DROP_SUCCESS
 check promotion BLIND_WRITE
 exit "$failed"
