The clock of a worker's process is not read from its predecessor's late answers

A late answer to a start gave the clock of a process that was gone to the one that followed it under the same id. Deadlines of its leases then stood far in the future, which workers shorten to their longest lease from the moment an order arrives: a call that came late gave a lease that the leader counted as passed. The test failed before.

--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -41,10 +41,14 @@
     run.ordering = true;
     ++run.orders;
     parts_.link.start(endpointOf(worker), order, parts_.times.orderLimit,
-        [self = shared_from_this(), task, number = order.run, id = run.placement.worker](
+        [self = shared_from_this(), task, number = order.run, id = run.placement.worker,
+            incarnation = run.placement.incarnation](
             StartOutcome outcome, std::optional<WorkerTime> clock) {
-            if (clock) {
-                self->workerOf(id).clock.observed(*clock, self->parts_.clock());
+            const auto found = self->workers_.find(id);
+            const bool same =
+                found != self->workers_.end() && found->second.heartbeat.incarnation == incarnation;
+            if (clock && same) {
+                found->second.clock.observed(*clock, self->parts_.clock());
             }
             self->startAnswered(task, number, id, outcome);
         });
--- a/test/runsupervisor.cpp
+++ b/test/runsupervisor.cpp
@@ -365,6 +365,17 @@
     CHECK(bench.supervisor->fleet().find(worker)->open);
 }
 
+TEST_CASE("a late answer of an earlier process says nothing of the later one's clock")
+{
+    Bench bench;
+    bench.begin();
+    bench.hear(second); // its clock shows 1 s
+    bench.link.starts.back().done(StartOutcome::Started, WorkerTime {1'000'000});
+    bench.link.answerHold({});
+    REQUIRE(bench.link.holds.back().order.deadline.has_value());
+    CHECK(*bench.link.holds.back().order.deadline < WorkerTime {10'000});
+}
+
 TEST_CASE("what runs without a record is stopped")
 {
     Bench bench;
