A full list of ends proves nothing of the runs that it lacks

A worker lists 500 ends at a time. With more of them unacknowledged the later ones are not there, and their runs counted as lost and were started again. The test failed before. Found by reading; no play showed it.

--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -142,10 +142,11 @@
         takeRunning(id, worker, running);
     }
     std::vector<EndedRun> absent;
+    const bool whole = report.ended.size() < mostEndsListed;
     for (const TaskRef &task : worker.runs) {
         Run &run = runs_.at(task);
         const bool onThis = run.placement.incarnation == report.incarnation;
-        if (!onThis || listed.contains(task) || run.ending) {
+        if (!whole || !onThis || listed.contains(task) || run.ending) {
             continue;
         }
         if (run.settledAt && *run.settledAt < sent) {
--- a/src/services/workerlink.h
+++ b/src/services/workerlink.h
@@ -68,6 +68,9 @@
     Checkpoint saved;
 };
 
+/// A list has no more ends than this at a time; later ones follow once these are acknowledged.
+inline constexpr std::size_t mostEndsListed = 500;
+
 struct HoldOrder
 {
     FencingToken fence;
--- a/test/runsupervisor.cpp
+++ b/test/runsupervisor.cpp
@@ -264,6 +264,23 @@
     CHECK(bench.phase() == TaskPhase::Waiting);
 }
 
+TEST_CASE("a list that is full proves nothing of runs that it lacks")
+{
+    Bench bench;
+    bench.begin();
+    bench.link.answerStart(StartOutcome::Started);
+    pause();
+    HoldReport report;
+    for (std::uint64_t number = 1; number <= mostEndsListed; ++number) {
+        const TaskRef other {GraphId {"other"}, 0, 0, static_cast<std::uint32_t>(number)};
+        report.ended.push_back({EndNumber {number}, other, RunNumber {1}, RunEnd::Stopped, {}});
+    }
+    bench.link.answerHold(Bench::running()); // so that the next list is asked for after its start
+    pause();
+    bench.link.answerHold(report);
+    CHECK(bench.phase() == TaskPhase::Placed);
+}
+
 TEST_CASE("a silent worker's runs are over only with its longest lease")
 {
     Bench bench;
