--- a/spec/leaserun.pml
+++ b/spec/leaserun.pml
@@ -1,12 +1,12 @@
 /* A task that runs once: a leader places it on a worker, leaders change and for a while cannot hear,
- * workers are cut off, leave and die, and orders are carried out late. A task is not started while a
- * run of it goes on, nor after one has succeeded and that was listed in steady state or acknowledged;
- * no start is ordered once a success was acknowledged.
+ * workers are cut off, leave and die, and orders are carried out late. A task is not started while
+ * a run of it goes on, nor after one has succeeded and that was listed in steady state or
+ * acknowledged; no start is ordered once a success was acknowledged.
  *
  * Steps and code: place = GraphBook::place, order = RunSupervisor::start and sendStart, listed =
  * RunSupervisor::takeReport, succeed = GraphBook::succeedRun, settle = RunSupervisor::stopAnswered
- * and the list after it, silent = RunSupervisor::isSilent, gone = RunSupervisor::holdFailed, give up
- * = RunSupervisor::tickWorker, lead = RunSupervisor::takeOver.
+ * and the list after it, silent = RunSupervisor::isSilent, gone = RunSupervisor::holdFailed, give
+ * up = RunSupervisor::tickWorker, lead = RunSupervisor::takeOver.
  *
  * Broken variants: -DDEAF_GIVES_UP gives runs up once their lease has passed, whether or not their
  * worker was looked for; -DLEFT_IS_GONE takes a worker's word that it leaves for its end;
--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -135,6 +135,7 @@
             run->ending = true;
             judge(id, end);
         }
+        logLateSuccess(id, end);
         ended.push_back({end.task, end.run, end.end, end.saved});
     }
     for (const ListedRun &running : report.running) {
@@ -285,7 +286,6 @@
 
 void RunSupervisor::endsRecorded(const EndList &list)
 {
-    logIgnored(list);
     for (const EndedRun &end : list.ended) {
         const Run *run = findRun(end.task, end.run);
         if (run != nullptr && run->placement.worker == list.worker) {
--- a/src/services/runlogs.cpp
+++ b/src/services/runlogs.cpp
@@ -88,21 +88,19 @@
             {"unanswered", std::uint64_t {worker.unanswered}}, {"fence", parts_.fence.value()}});
 }
 
-/// A success that the journal has no use for means that its task was given up too soon.
-void RunSupervisor::logIgnored(const EndList &list) const
+/// A success of a run that is not the current one means that its task was given up too soon.
+void RunSupervisor::logLateSuccess(const WorkerId &worker, const ListedEnd &end) const
 {
-    for (const EndedRun &end : list.ended) {
-        const Graph *graph = parts_.state.graphs().find(end.task.graph);
-        const GraphTask *task = graph == nullptr ? nullptr : graph->find(end.task);
-        if (end.end != RunEnd::Succeeded || task == nullptr || task->run == end.run) {
-            continue;
-        }
-        logWarning("run.end_ignored",
-            {{"task", asText(end.task)}, {"run", std::uint64_t {end.run.value()}},
-                {"worker", list.worker.value()}, {"current_run", std::uint64_t {task->run.value()}},
-                {"current_worker", task->worker.value()}, {"phase", nameOf(task->phase)},
-                {"fence", parts_.fence.value()}});
+    const Graph *graph = parts_.state.graphs().find(end.task.graph);
+    const GraphTask *task = graph == nullptr ? nullptr : graph->find(end.task);
+    if (end.end != RunEnd::Succeeded || task == nullptr || task->run <= end.run) {
+        return;
     }
+    logWarning("run.succeeded_late",
+        {{"task", asText(end.task)}, {"run", std::uint64_t {end.run.value()}},
+            {"worker", worker.value()}, {"current_run", std::uint64_t {task->run.value()}},
+            {"current_worker", task->worker.value()}, {"phase", nameOf(task->phase)},
+            {"fence", parts_.fence.value()}});
 }
 
 RunSupervisor::Load RunSupervisor::load(MonotonicTime now) const
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -2,7 +2,8 @@
 ///
 /// A run counts on its worker until it is proved over: its end was listed, a list that was asked
 /// for after its start or stop was answered lacks it, its worker's process is gone, or every lease
-/// that the worker may have been given has passed on its clock.
+/// that the worker may have been given has passed on its clock and the worker was looked for in
+/// vain since this VM can hear it.
 
 #pragma once
 
@@ -226,7 +227,7 @@
     void endRuns(const std::vector<EndedRun> &ended, OverBy rule);
     void recordOver(const std::vector<EndedRun> &ended);
     void logOver(const Run &run, const EndedRun &end, OverBy rule) const;
-    void logIgnored(const EndList &list) const;
+    void logLateSuccess(const WorkerId &worker, const ListedEnd &end) const;
     [[nodiscard]] EndedRun overAs(const Run &run, RunEnd end) const;
     void release(const EndedRun &ended);
     [[nodiscard]] Run *findRun(const TaskRef &task, RunNumber number);
