--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -135,6 +135,7 @@
             run->ending = true;
             judge(id, end);
         }
+        logLateSuccess(id, end);
         ended.push_back({end.task, end.run, end.end, end.saved});
     }
     for (const ListedRun &running : report.running) {
@@ -142,10 +143,11 @@
         takeRunning(id, worker, running);
     }
     std::vector<EndedRun> absent;
+    const bool whole = report.ended.size() < mostEndsListed;
     for (const TaskRef &task : worker.runs) {
         Run &run = runs_.at(task);
         const bool onThis = run.placement.incarnation == report.incarnation;
-        if (!onThis || listed.contains(task) || run.ending) {
+        if (!whole || !onThis || listed.contains(task) || run.ending) {
             continue;
         }
         if (run.settledAt && *run.settledAt < sent) {
@@ -284,7 +286,6 @@
 
 void RunSupervisor::endsRecorded(const EndList &list)
 {
-    logIgnored(list);
     for (const EndedRun &end : list.ended) {
         const Run *run = findRun(end.task, end.run);
         if (run != nullptr && run->placement.worker == list.worker) {
