--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -62,8 +62,7 @@
             kernel.find<WorkerLink>(names::workerLink),
             kernel.find<TicketOffice>(names::ticketOffice), settings_.peers.advertise, metrics_);
         peers->onCall([this](const Call &call, const ReplyHandler &done) { handle(call, done); });
-        // Without its lease a leader may answer nothing, and nobody else may either: callers that
-        // were sent away would come back at once, again and again.
+        // While its lease is lapsed nobody else may answer either; callers would come back at once.
         peers->holdCallsWhile([this]() {
             const Consensus *consensus = journal_->consensus();
             return consensus != nullptr && consensus->isLeader() && !journal_->leads();
