Log records are formatted straight into lines and written in batches

Each record was a Boost.Log record with a JSON document for each attribute and a stream for the time, and woke the log thread for a write of its own. A leader writes several for each job and run.

Adding still never waits, order and the count of dropped records are kept, and the end of the process writes what waits. Attributes refer to their text and copy nothing.

--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -1,24 +1,17 @@
-/// Log records through Boost.Log, as text or as JSON lines.
+/// Log records as text or as JSON lines.
 
 #include "src/net/log.h"
 
-#include <boost/json.hpp>
-#include <boost/log/core.hpp>
-#include <boost/log/expressions.hpp>
-#include <boost/log/sinks/async_frontend.hpp>
-#include <boost/log/sinks/bounded_fifo_queue.hpp>
-#include <boost/log/sinks/drop_on_overflow.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
-#include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/sources/severity_logger.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <boost/smart_ptr/make_shared_object.hpp>
+#include "src/net/jsontext.h"
+#include "src/net/logqueue.h"
 
+#include <array>
 #include <atomic>
 #include <chrono>
-#include <iomanip>
-#include <iostream>
-#include <sstream>
+#include <cstdio>
+#include <ctime>
+#include <memory>
+#include <unistd.h>
 
 namespace crocusmill
 {
@@ -26,40 +19,13 @@
 namespace
 {
 
-namespace logging = boost::log;
-
-using Logger = logging::sources::severity_logger_mt<LogLevel>;
-
-/// Counts what the queue has no room for.
-class CountingOverflow : public logging::sinks::drop_on_overflow
-{
-public:
-    template <typename Lock>
-    static bool on_overflow(const logging::record_view & /*record*/, Lock & /*lock*/)
-    {
-        dropped().fetch_add(1);
-        return false;
-    }
-
-    static std::atomic<std::uint64_t> &dropped()
-    {
-        static std::atomic<std::uint64_t> count {0};
-        return count;
-    }
-};
-
-/// The library takes the size of the queue at compile time.
-constexpr std::size_t mostWaiting = 4'096;
-using Backend = logging::sinks::text_ostream_backend;
-using Sink = logging::sinks::asynchronous_sink<Backend,
-    logging::sinks::bounded_fifo_queue<mostWaiting, CountingOverflow>>;
-
 struct LogState
 {
     LogFormat format = LogFormat::Text;
     VmId vm;
-    Logger logger;
-    boost::shared_ptr<Sink> sink;
+    std::atomic<LogLevel> least {LogLevel::Info};
+    std::unique_ptr<LogQueue> queue; // set before there are other threads
+    std::atomic<std::uint64_t> dropped {0}; // and not reported yet
 };
 
 LogState &logState()
@@ -83,65 +49,152 @@
     return "info";
 }
 
-std::string timestamp()
+/// The time of day; the part up to the seconds is kept from record to record.
+class TimeText
 {
-    const std::chrono::system_clock::time_point now = std::chrono::system_clock::now();
-    const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
-    const std::int64_t milliseconds =
-        std::chrono::duration_cast<Milliseconds>(now.time_since_epoch()).count() % 1000;
-    std::tm utc {};
-    gmtime_r(&seconds, &utc);
-    std::ostringstream out;
-    out << std::put_time(&utc, "%Y-%m-%dT%H:%M:%S") << '.' << std::setw(3) << std::setfill('0')
-        << milliseconds << 'Z';
-    return std::move(out).str();
-}
+public:
+    void append(std::string &out)
+    {
+        constexpr std::int64_t perSecond = 1000;
+        const std::int64_t now = std::chrono::duration_cast<Milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+                                     .count();
+        if (now / perSecond != second_ || size_ == 0) {
+            second_ = now / perSecond;
+            const std::time_t seconds = second_;
+            std::tm utc {};
+            gmtime_r(&seconds, &utc);
+            size_ = std::strftime(text_.data(), text_.size(), "%Y-%m-%dT%H:%M:%S.", &utc);
+        }
+        out.append(text_.data(), size_);
+        constexpr std::int64_t ten = 10;
+        constexpr std::int64_t hundred = 100;
+        const std::int64_t rest = now % perSecond;
+        out += static_cast<char>('0' + rest / hundred);
+        out += static_cast<char>('0' + rest / ten % ten);
+        out += static_cast<char>('0' + rest % ten);
+        out += 'Z';
+    }
 
-boost::json::value asJson(const LogAttribute &attribute)
+private:
+    static constexpr std::size_t mostBytes = 32;
+
+    std::int64_t second_ = 0;
+    std::array<char, mostBytes> text_ {};
+    std::size_t size_ = 0;
+};
+
+void appendTime(std::string &out)
 {
-    return std::visit([](const auto &value) { return boost::json::value(value); }, attribute.value);
+    thread_local TimeText time;
+    time.append(out);
 }
 
-std::string asJsonLine(
-    LogLevel level, std::string_view event, std::initializer_list<LogAttribute> attributes)
+struct AppendValue
 {
-    boost::json::object line;
-    line["time"] = timestamp();
-    line["level"] = text(level);
-    line["vm"] = logState().vm.value();
-    line["event"] = event;
+    std::string &out;
+
+    void operator()(std::string_view text) const
+    {
+        appendJson(out, text);
+    }
+
+    void operator()(std::int64_t number) const
+    {
+        appendJson(out, number);
+    }
+
+    void operator()(bool flag) const
+    {
+        out += flag ? "true" : "false";
+    }
+
+    void operator()(const std::error_code &error) const
+    {
+        appendJson(out, std::string {error.category().name()} + ": " + error.message());
+    }
+};
+
+void appendJsonLine(std::string &out, LogLevel level, std::string_view event,
+    std::initializer_list<LogAttribute> attributes)
+{
+    out += R"({"time":")";
+    appendTime(out);
+    out += R"(","level":")";
+    out += text(level);
+    out += R"(","vm":)";
+    appendJson(out, logState().vm.value());
+    out += R"(,"event":)";
+    appendJson(out, event);
     for (const LogAttribute &attribute : attributes) {
-        line[attribute.name] = asJson(attribute);
+        out += ',';
+        appendJson(out, attribute.name);
+        out += ':';
+        std::visit(AppendValue {out}, attribute.value);
     }
-    return boost::json::serialize(line);
+    out += "}\n";
 }
 
-std::string asTextLine(
-    LogLevel level, std::string_view event, std::initializer_list<LogAttribute> attributes)
+void appendTextLine(std::string &out, LogLevel level, std::string_view event,
+    std::initializer_list<LogAttribute> attributes)
 {
-    std::ostringstream out;
-    out << timestamp() << ' ' << text(level) << ' ' << logState().vm.value() << ' ' << event;
+    appendTime(out);
+    out += ' ';
+    out += text(level);
+    out += ' ';
+    out += logState().vm.value();
+    out += ' ';
+    out += event;
     for (const LogAttribute &attribute : attributes) {
-        out << ' ' << attribute.name << '=' << boost::json::serialize(asJson(attribute));
+        out += ' ';
+        out += attribute.name;
+        out += '=';
+        std::visit(AppendValue {out}, attribute.value);
+    }
+    out += '\n';
+}
+
+/// False when there was no room for it.
+bool write(LogLevel level, std::string_view event, std::initializer_list<LogAttribute> attributes)
+{
+    thread_local std::string line;
+    line.clear();
+    if (logState().format == LogFormat::Json) {
+        appendJsonLine(line, level, event, attributes);
+    } else {
+        appendTextLine(line, level, event, attributes);
+    }
+    if (!logState().queue) {
+        std::fwrite(line.data(), 1, line.size(), stderr);
+        return true;
+    }
+    return logState().queue->add(line, level == LogLevel::Error);
+}
+
+/// One record for all that were dropped since the last.
+void reportDropped()
+{
+    const std::uint64_t records = logState().dropped.exchange(0);
+    if (records > 0 && !write(LogLevel::Warning, "log.dropped", {{"records", records}})) {
+        logState().dropped += records;
     }
-    return std::move(out).str();
 }
 
 } // namespace
 
-LogAttribute::LogAttribute(std::string_view attribute, std::string text)
+LogAttribute::LogAttribute(std::string_view attribute, std::string_view text)
     : name(attribute)
-    , value(std::move(text))
+    , value(text)
 {
 }
 
-LogAttribute::LogAttribute(std::string_view attribute, std::string_view text)
-    : LogAttribute(attribute, std::string {text})
+LogAttribute::LogAttribute(std::string_view attribute, const std::string &text)
+    : LogAttribute(attribute, std::string_view {text})
 {
 }
 
 LogAttribute::LogAttribute(std::string_view attribute, const char *text)
-    : LogAttribute(attribute, std::string {text})
+    : LogAttribute(attribute, std::string_view {text})
 {
 }
 
@@ -158,7 +211,8 @@
 }
 
 LogAttribute::LogAttribute(std::string_view attribute, const std::error_code &error)
-    : LogAttribute(attribute, std::string {error.category().name()} + ": " + error.message())
+    : name(attribute)
+    , value(error)
 {
 }
 
@@ -166,54 +220,28 @@
 {
     logState().format = settings.format;
     logState().vm = vm;
-    const boost::shared_ptr<Backend> backend = boost::make_shared<Backend>();
-    std::ostream &out = settings.output == LogOutput::StandardOutput ? std::cout : std::cerr;
-    backend->add_stream(boost::shared_ptr<std::ostream>(&out, boost::null_deleter()));
-    backend->auto_flush(true);
-    const boost::shared_ptr<Sink> sink = boost::make_shared<Sink>(backend);
-    logState().sink = sink;
-    sink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
-    logging::core::get()->add_sink(sink);
-    const LogLevel least = settings.level;
-    logging::core::get()->set_filter(logging::expressions::attr<LogLevel>("Severity") >= least);
+    logState().least = settings.level;
+    const bool standard = settings.output == LogOutput::StandardOutput;
+    logState().queue =
+        std::make_unique<LogQueue>(standard ? STDOUT_FILENO : STDERR_FILENO, LogQueueLimits {});
 }
 
 void flushLog()
 {
-    if (logState().sink) {
-        logState().sink->stop();
-        logState().sink->flush();
+    if (logState().queue) {
+        logState().queue->stop();
     }
 }
 
-namespace
-{
-
-/// One record for all that were dropped since the last.
-void reportDropped()
-{
-    const std::uint64_t dropped = CountingOverflow::dropped().exchange(0);
-    if (dropped > 0) {
-        logRecord(LogLevel::Warning, "log.dropped", {{"records", dropped}});
-    }
-}
-
-} // namespace
-
 void logRecord(
     LogLevel level, std::string_view event, std::initializer_list<LogAttribute> attributes)
 {
-    Logger &logger = logState().logger;
-    logging::record record = logger.open_record(logging::keywords::severity = level);
-    if (!record) {
+    if (level < logState().least.load(std::memory_order_relaxed)) {
         return;
     }
-    logging::record_ostream out {record};
-    out << (logState().format == LogFormat::Json ? asJsonLine(level, event, attributes)
-                                                 : asTextLine(level, event, attributes));
-    out.flush();
-    logger.push_record(std::move(record));
-    if (event != "log.dropped") {
+    if (!write(level, event, attributes)) {
+        ++logState().dropped;
+    } else if (logState().dropped.load(std::memory_order_relaxed) > 0) {
         reportDropped();
     }
 }
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -1,7 +1,8 @@
 /// Structured log records: an event name and typed attributes.
 ///
-/// Writing never waits: records go through a bounded queue to a thread of their own, and what does
-/// not fit is dropped. Their number stands in a record of its own once there is room again.
+/// Writing never waits: records go through a bounded queue to a thread of their own, which writes
+/// them in batches, and what does not fit is dropped. Their number stands in a record of its own
+/// once there is room again. Until startLog() records are written to standard error one by one.
 ///
 /// One record for a thing that an operator acts on; none for each request at the default level.
 
@@ -19,13 +20,14 @@
 namespace crocusmill
 {
 
+/// Refers to the text it is made from: use it within the expression that makes it.
 struct LogAttribute
 {
     std::string_view name;
-    std::variant<std::string, std::int64_t, bool> value;
+    std::variant<std::string_view, std::int64_t, bool, std::error_code> value;
 
-    LogAttribute(std::string_view attribute, std::string text);
     LogAttribute(std::string_view attribute, std::string_view text);
+    LogAttribute(std::string_view attribute, const std::string &text);
     LogAttribute(std::string_view attribute, const char *text);
     LogAttribute(std::string_view attribute, std::uint64_t number);
     LogAttribute(std::string_view attribute, bool flag);
--- /dev/null
+++ b/test/log.cpp
@@ -0,0 +1,237 @@
+/// Log records: their form, their order, what is dropped and what is written at the end.
+
+#include "src/net/log.h"
+
+#include "src/net/logqueue.h"
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+/// A pipe that is read only when the test says so.
+class Pipe
+{
+public:
+    Pipe()
+    {
+        REQUIRE(::pipe(ends_.data()) == 0);
+    }
+
+    ~Pipe()
+    {
+        ::close(ends_[0]);
+        closeIn();
+    }
+
+    Pipe(const Pipe &) = delete;
+    Pipe &operator=(const Pipe &) = delete;
+
+    int in() const
+    {
+        return ends_[1];
+    }
+
+    void closeIn()
+    {
+        if (ends_[1] >= 0) {
+            ::close(std::exchange(ends_[1], -1));
+        }
+    }
+
+    /// What one read yields.
+    std::string readSome() const
+    {
+        std::string text(1'000'000, '\0');
+        const ssize_t size = ::read(ends_[0], text.data(), text.size());
+        text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+        return text;
+    }
+
+    std::string readAll() const
+    {
+        std::string all;
+        for (std::string some = readSome(); !some.empty(); some = readSome()) {
+            all += some;
+        }
+        return all;
+    }
+
+private:
+    std::array<int, 2> ends_ {-1, -1};
+};
+
+std::string numbered(int number)
+{
+    return std::to_string(number) + '\n';
+}
+
+/// Sends a file descriptor of this process elsewhere for a while.
+class Redirected
+{
+public:
+    Redirected(int descriptor, int to)
+        : descriptor_(descriptor)
+        , kept_(::dup(descriptor))
+    {
+        ::dup2(to, descriptor);
+    }
+
+    ~Redirected()
+    {
+        ::dup2(kept_, descriptor_);
+        ::close(kept_);
+    }
+
+    Redirected(const Redirected &) = delete;
+    Redirected &operator=(const Redirected &) = delete;
+
+private:
+    int descriptor_;
+    int kept_;
+};
+
+} // namespace
+
+TEST_CASE("lines that come together are written together and in their order")
+{
+    Pipe pipe;
+    LogQueue queue {pipe.in(), LogQueueLimits {100, Milliseconds {300}, ByteCount {10'000}}};
+    std::string all;
+    for (int i = 0; i < 50; ++i) {
+        CHECK(queue.add(numbered(i), false));
+        all += numbered(i);
+    }
+    CHECK(pipe.readSome() == all);
+}
+
+TEST_CASE("a line waits no longer than it must")
+{
+    Pipe pipe;
+    LogQueue queue {pipe.in(), LogQueueLimits {100, Milliseconds {60'000}, ByteCount {1'000}}};
+    const std::string large(1'000, 'x');
+    CHECK(queue.add("small\n", false));
+    CHECK(queue.add("urgent\n", true));
+    CHECK(pipe.readSome() == "small\nurgent\n");
+    CHECK(queue.add(large, false)); // a batch by itself
+    CHECK(pipe.readSome() == large);
+    CHECK(queue.add("last\n", false));
+    queue.stop();
+    CHECK(pipe.readSome() == "last\n");
+    CHECK_FALSE(queue.add("after\n", false));
+}
+
+TEST_CASE("a descriptor that takes nothing holds nobody up, and what fitted is written in the end")
+{
+    Pipe pipe;
+    constexpr std::size_t most = 100;
+    const std::string line = std::string(1'000, 'x') + '\n';
+    std::size_t taken = 0;
+    std::string all;
+    {
+        LogQueue queue {pipe.in(), LogQueueLimits {most, Milliseconds {0}, ByteCount {1}}};
+        constexpr std::size_t tries = 10'000;
+        for (std::size_t i = 0; i < tries; ++i) {
+            taken += queue.add(line, false) ? 1 : 0; // nobody reads, so the pipe is soon full
+        }
+        CHECK(taken >= most);
+        CHECK(taken < tries);
+        std::thread reader {[&]() {
+            while (all.size() < taken * line.size()) {
+                all += pipe.readSome();
+            }
+        }};
+        queue.stop();
+        reader.join();
+    }
+    CHECK(all.size() == taken * line.size());
+}
+
+TEST_CASE("records are lines of JSON with typed attributes, and none is lost at the end")
+{
+    Pipe pipe;
+    constexpr int records = 100; // a pipe holds them all
+    {
+        const Redirected output {STDOUT_FILENO, pipe.in()};
+        LogSettings settings;
+        settings.format = LogFormat::Json;
+        settings.output = LogOutput::StandardOutput;
+        startLog(settings, VmId {"core-1"});
+        logRecord(LogLevel::Debug, "not.shown", {});
+        for (int i = 0; i < records; ++i) {
+            logInfo("run.over",
+                {{"text", "a\"b\n"}, {"number", static_cast<std::uint64_t>(i)}, {"flag", true},
+                    {"error", std::make_error_code(std::errc::timed_out)},
+                    {"made", std::string {"by "} + std::to_string(i)}});
+        }
+        flushLog();
+    }
+    pipe.closeIn();
+    std::istringstream lines {pipe.readAll()};
+    std::string line;
+    int count = 0;
+    while (std::getline(lines, line)) {
+        const boost::json::object record = boost::json::parse(line).as_object();
+        CHECK(record.at("time").as_string().size()
+            == std::string {"2026-12-04T14:46:09.019Z"}.size());
+        CHECK(record.at("level").as_string() == "info");
+        CHECK(record.at("vm").as_string() == "core-1");
+        CHECK(record.at("event").as_string() == "run.over");
+        CHECK(record.at("text").as_string() == "a\"b\n");
+        CHECK(record.at("number").to_number<int>() == count);
+        CHECK(record.at("flag").as_bool());
+        CHECK(record.at("error").as_string() == "generic: Connection timed out");
+        CHECK(record.at("made").as_string() == "by " + std::to_string(count));
+        ++count;
+    }
+    CHECK(count == records);
+}
+
+TEST_CASE("the number of dropped records stands in a record of its own")
+{
+    Pipe pipe;
+    std::string text;
+    {
+        const Redirected output {STDOUT_FILENO, pipe.in()};
+        LogSettings settings;
+        settings.output = LogOutput::StandardOutput;
+        startLog(settings, VmId {"core-1"});
+        constexpr int records = 20'000;
+        for (int i = 0; i < records; ++i) {
+            logInfo("filler", {{"text", std::string_view {"xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"}}});
+        }
+        std::thread reader {[&]() {
+            text = pipe.readAll();
+        }};
+        std::this_thread::sleep_for(Milliseconds {200});
+        logInfo("room.again", {});
+        flushLog();
+        ::dup2(STDERR_FILENO, STDOUT_FILENO); // lets go of the pipe
+        pipe.closeIn();
+        reader.join();
+    }
+    std::istringstream lines {text};
+    std::string line;
+    std::uint64_t written = 0;
+    std::uint64_t dropped = 0;
+    while (std::getline(lines, line)) {
+        written += line.find(" filler ") != std::string::npos ? 1 : 0;
+        const std::size_t at = line.find("log.dropped records=");
+        if (at != std::string::npos) {
+            dropped += std::stoull(line.substr(line.rfind('=') + 1));
+        }
+    }
+    CHECK(dropped > 0);
+    CHECK(written + dropped == 20'000);
+}
+
+} // namespace crocusmill
