--- a/test/fleet.cpp
+++ b/test/fleet.cpp
@@ -151,6 +151,7 @@
 std::vector<std::pair<std::uint32_t, WorkerId>> pairsOf(const std::vector<FleetChoice> &chosen)
 {
     std::vector<std::pair<std::uint32_t, WorkerId>> pairs;
+    pairs.reserve(chosen.size());
     for (const FleetChoice &choice : chosen) {
         pairs.emplace_back(choice.task, choice.worker);
     }
--- a/test/stepqueue.cpp
+++ b/test/stepqueue.cpp
@@ -113,6 +113,7 @@
         }
         sortByUrgency(steps, now);
         std::vector<TaskRef> refs;
+        refs.reserve(steps.size());
         for (const ReadyStep &step : steps) {
             refs.push_back(step.step);
         }
@@ -308,6 +309,7 @@
         }
         sortByUrgency(sorted, now);
         std::vector<TaskRef> steps;
+        steps.reserve(sorted.size());
         for (const ReadyStep &step : sorted) {
             steps.push_back(step.step);
         }
