Tickets: who a step has asked about is found once for all workers

To choose whom to ask next, the step and then the worker were looked up in ordered maps for every worker. The step's workers are a hash map now, which the choice takes once. A step whose job was forgotten leaves the queue.

Open: such a round still walks past all workers that the step has asked about.

--- a/include/crocusmill/ticketbook.h
+++ b/include/crocusmill/ticketbook.h
@@ -27,6 +27,15 @@
     Ticket ticket;
 };
 
+/// A worker that was asked about.
+struct AskedWorker
+{
+    bool allowed = false;
+    Ticket ticket;
+    MonotonicTime validUntil {};
+};
+using AskedWorkers = std::unordered_map<WorkerId, AskedWorker>;
+
 class TicketBook
 {
 public:
@@ -42,11 +51,11 @@
 
     /// A question about the step has no answer yet.
     [[nodiscard]] bool isAsking(const TaskRef &step) const;
-    /// The step was asked for, about any worker.
-    [[nodiscard]] bool wasAsked(const TaskRef &step) const;
+    /// All that the step has asked about.
+    [[nodiscard]] const AskedWorkers &askedFor(const TaskRef &step) const;
     [[nodiscard]] bool wasAsked(const TaskRef &step, const WorkerId &worker) const;
     [[nodiscard]] bool isAllowed(const TaskRef &step, const WorkerId &worker) const;
-    /// Workers that may run the step.
+    /// Workers that may run the step, in no order.
     [[nodiscard]] std::vector<WorkerId> allowed(const TaskRef &step) const;
     /// Those of them whose ticket is still good at `until`.
     [[nodiscard]] std::vector<WorkerId> withTicket(const TaskRef &step, MonotonicTime until) const;
@@ -59,20 +68,14 @@
     [[nodiscard]] std::vector<TaskRef> steps() const;
 
 private:
-    struct Entry
-    {
-        bool allowed = false;
-        Ticket ticket;
-        MonotonicTime validUntil {};
-    };
     struct Step
     {
         std::uint32_t questions = 0; // without an answer yet
-        std::map<WorkerId, Entry> workers; // those asked about
+        AskedWorkers workers;
     };
 
     void disallow(const TaskRef &step, const WorkerId &worker);
-    [[nodiscard]] const Entry *find(const TaskRef &step, const WorkerId &worker) const;
+    [[nodiscard]] const AskedWorker *find(const TaskRef &step, const WorkerId &worker) const;
 
     std::map<TaskRef, Step> steps_;
     // Invariant: the steps that are allowed on each worker; none is empty.
--- a/src/cell/ticketbook.cpp
+++ b/src/cell/ticketbook.cpp
@@ -25,7 +25,7 @@
     }
     --found->second.questions;
     for (const WorkerId &worker : workers) {
-        Entry &entry = found->second.workers[worker];
+        AskedWorker &entry = found->second.workers[worker];
         if (std::exchange(entry.allowed, false)) {
             disallow(step, worker);
         }
@@ -57,7 +57,7 @@
     if (found == steps_.end()) {
         return workers;
     }
-    for (const std::pair<const WorkerId, Entry> &known : found->second.workers) {
+    for (const std::pair<const WorkerId, AskedWorker> &known : found->second.workers) {
         if (known.second.allowed && known.second.validUntil >= until) {
             workers.push_back(known.first);
         }
@@ -84,7 +84,7 @@
 {
     auto step = steps_.lower_bound(TaskRef {graph, 0, 0, 0});
     while (step != steps_.end() && step->first.graph == graph) {
-        for (const std::pair<const WorkerId, Entry> &known : step->second.workers) {
+        for (const std::pair<const WorkerId, AskedWorker> &known : step->second.workers) {
             if (known.second.allowed) {
                 disallow(step->first, known.first);
             }
@@ -99,7 +99,7 @@
     return found != steps_.end() && found->second.questions > 0;
 }
 
-const TicketBook::Entry *TicketBook::find(const TaskRef &step, const WorkerId &worker) const
+const AskedWorker *TicketBook::find(const TaskRef &step, const WorkerId &worker) const
 {
     const auto found = steps_.find(step);
     if (found == steps_.end()) {
@@ -109,10 +109,11 @@
     return entry == found->second.workers.end() ? nullptr : &entry->second;
 }
 
-bool TicketBook::wasAsked(const TaskRef &step) const
+const AskedWorkers &TicketBook::askedFor(const TaskRef &step) const
 {
+    static const AskedWorkers none;
     const auto found = steps_.find(step);
-    return found != steps_.end() && !found->second.workers.empty();
+    return found == steps_.end() ? none : found->second.workers;
 }
 
 bool TicketBook::wasAsked(const TaskRef &step, const WorkerId &worker) const
@@ -122,14 +123,14 @@
 
 bool TicketBook::isAllowed(const TaskRef &step, const WorkerId &worker) const
 {
-    const Entry *entry = find(step, worker);
+    const AskedWorker *entry = find(step, worker);
     return entry != nullptr && entry->allowed;
 }
 
 std::optional<Ticket> TicketBook::ticket(
     const TaskRef &step, const WorkerId &worker, MonotonicTime until) const
 {
-    const Entry *entry = find(step, worker);
+    const AskedWorker *entry = find(step, worker);
     if (entry == nullptr || !entry->allowed || entry->validUntil < until) {
         return std::nullopt;
     }
--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -282,6 +282,7 @@
 {
     const Graph *graph = parts_.journal.state().graphs().find(step.graph);
     if (graph == nullptr) {
+        refreshed_.insert(step.graph); // it ended and was forgotten between two rounds
         return {};
     }
     const StepDemand demand = demandOf(*graph, step);
--- a/src/services/dispatchtickets.cpp
+++ b/src/services/dispatchtickets.cpp
@@ -51,10 +51,12 @@
     }
     if (!workers.empty()) {
         std::size_t spare = 0;
+        const AskedWorkers &asked = book_.askedFor(step);
         supervisor_->fleet().visitSuited(rest, [&](const FleetWorker &worker) {
             const bool other =
                 std::find(workers.begin(), workers.end(), worker.id) == workers.end();
-            if (other && book_.isAllowed(step, worker.id)) {
+            const auto known = asked.find(worker.id);
+            if (other && known != asked.end() && known->second.allowed) {
                 workers.push_back(worker.id);
                 ++spare;
             }
@@ -71,11 +73,12 @@
     std::vector<WorkerId> workers;
     double room = 0;
     const double wanted = static_cast<double>(demand.spec->tasks) / allowedShare;
+    const AskedWorkers &asked = book_.askedFor(demand.step);
     supervisor_->fleet().visitSuited(demand, [&](const FleetWorker &worker) {
         if (workers.size() >= most || (workers.size() >= leastAsked && room >= wanted)) {
             return false;
         }
-        if (!book_.wasAsked(demand.step, worker.id)) {
+        if (!asked.contains(worker.id)) {
             const std::uint32_t size = std::max(demand.spec->size.milliCores, 1U);
             // About half of a worker is in use.
             room += static_cast<double>(worker.capacity.milliCores) / size / 2;
@@ -154,7 +157,7 @@
 bool Dispatcher::askedAhead(const TaskRef &step, MonotonicTime now)
 {
     const Graph *graph = parts_.journal.state().graphs().find(step.graph);
-    if (graph == nullptr || book_.wasAsked(step)) {
+    if (graph == nullptr || !book_.askedFor(step).empty()) {
         return true;
     }
     const Queue *queue = parts_.journal.state().catalog().find(graph->spec.queue);
--- a/test/ticketbook.cpp
+++ b/test/ticketbook.cpp
@@ -17,7 +17,7 @@
     CHECK_FALSE(book.isAsking(step));
     book.asked(step, {yes, no});
     CHECK(book.isAsking(step));
-    CHECK(book.wasAsked(step));
+    CHECK(book.askedFor(step).size() == 2);
     CHECK(book.wasAsked(step, no));
     CHECK_FALSE(book.isAllowed(step, yes));
     book.answered(step, {yes, no}, {{yes, Ticket {"t1"}}}, now + Milliseconds {100});
