--- a/src/services/interfaces.h
+++ b/src/services/interfaces.h
@@ -55,7 +55,7 @@
     virtual void onMessage(std::function<void(const Message &)> handler) = 0;
     virtual void onCall(std::function<void(const Call &, ReplyHandler)> handler) = 0;
     /// Calls keep waiting for their turn while `condition` holds.
-    virtual void holdCallsWhile(std::function<bool()> /*condition*/)
+    virtual void holdCallsWhile(const std::function<bool()> & /*condition*/)
     {
     }
 };
--- a/src/services/peerservice.cpp
+++ b/src/services/peerservice.cpp
@@ -97,9 +97,9 @@
         handlers_->call = std::move(handler);
     }
 
-    void holdCallsWhile(std::function<bool()> condition) override
+    void holdCallsWhile(const std::function<bool()> &condition) override
     {
-        handlers_->turns->holdWhile(std::move(condition));
+        handlers_->turns->holdWhile(condition);
     }
 
 private:
