--- a/bench/workercalls.cpp
+++ b/bench/workercalls.cpp
@@ -331,8 +331,8 @@
     Metrics metrics;
     const Spent before = spentBy(RUSAGE_THREAD);
     for (std::uint32_t i = 0; i < times; ++i) {
-        metrics.count({"worker_calls_total", "call=\"/hold\",status=\"200\""});
-        metrics.observe({"worker_call_seconds", "call=\"/hold\""}, Microseconds {i % 1'000});
+        metrics.count({"worker_calls_total", R"(call="/hold",status="200")"});
+        metrics.observe({"worker_call_seconds", R"(call="/hold")"}, Microseconds {i % 1'000});
     }
     report("count and observation", before, spentBy(RUSAGE_THREAD), times);
 }
