--- a/src/net/framebuffer.cpp
+++ b/src/net/framebuffer.cpp
@@ -47,7 +47,8 @@
     if (expected > whole) {
         return false;
     }
-    message = kj::heapArray<capnp::word>(begin, expected);
+    message = kj::heapArray<capnp::word>(expected);
+    std::memcpy(message.begin(), begin, expected * wordBytes);
     first_ += expected;
     if (first_ * wordBytes == end_) {
         first_ = 0;
