--- a/test/fakes/simulation.h
+++ b/test/fakes/simulation.h
@@ -53,7 +53,8 @@
 
     [[nodiscard]] int number(int least, int most)
     {
-        const auto span = static_cast<std::uint64_t>(most - least + 1);
+        const std::uint64_t span =
+            static_cast<std::uint64_t>(most) - static_cast<std::uint64_t>(least) + 1;
         return least + static_cast<int>(random_() % span);
     }
 
