--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -216,11 +216,16 @@
 {
 }
 
+void setLogLevel(LogLevel least)
+{
+    logState().least = least;
+}
+
 void startLog(const LogSettings &settings, const VmId &vm)
 {
     logState().format = settings.format;
     logState().vm = vm;
-    logState().least = settings.level;
+    setLogLevel(settings.level);
     const bool standard = settings.output == LogOutput::StandardOutput;
     logState().queue =
         std::make_unique<LogQueue>(standard ? STDOUT_FILENO : STDERR_FILENO, LogQueueLimits {});
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -35,6 +35,8 @@
 };
 
 void startLog(const LogSettings &settings, const VmId &vm);
+/// Records below this level are passed over. Any thread.
+void setLogLevel(LogLevel least);
 /// Writes what waits; for the end of the process.
 void flushLog();
 
--- a/test/runrules.cpp
+++ b/test/runrules.cpp
@@ -1,9 +1,9 @@
 /// Runs under leaders that change, stand still and hear late: no order of events breaks a rule.
 
+#include "src/net/log.h"
 #include "test/fakes/graphs.h"
 #include "test/fakes/simulatedleader.h"
 
-#include <boost/log/core.hpp>
 #include <catch2/catch.hpp>
 
 #include <cstdlib>
@@ -262,7 +262,7 @@
 {
     const std::uint64_t first = numberFrom("RUN_RULES_SEED", 20'261'204);
     const std::uint64_t days = numberFrom("RUN_RULES_DAYS", 400);
-    boost::log::core::get()->set_logging_enabled(std::getenv("RUN_RULES_LOG") != nullptr);
+    setLogLevel(std::getenv("RUN_RULES_LOG") != nullptr ? LogLevel::Info : LogLevel::Error);
     for (std::uint64_t seed = first; seed < first + days; ++seed) {
         for (const std::string &rule : Day {seed}.play()) {
             UNSCOPED_INFO("seed " << seed << ": " << rule);
