Rounds are as far apart as they are long; pending jobs are counted once for all queues

The timer wakes now instead, a long round is followed by as long a pause, and a count is told again for 0.2 s.

--- a/src/cell/fleet.cpp
+++ b/src/cell/fleet.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <ranges>
 #include <utility>
 
 namespace crocusmill
@@ -318,8 +319,8 @@
     if (service == nullptr) {
         return;
     }
-    for (auto held = service->open.rbegin(); held != service->open.rend(); ++held) {
-        const FleetWorker &worker = (*held)->worker;
+    for (const Held *held : std::ranges::reverse_view(service->open)) {
+        const FleetWorker &worker = held->worker;
         if (suits(worker, demand) && !visit(worker)) {
             return;
         }
--- a/src/services/dispatchdesk.cpp
+++ b/src/services/dispatchdesk.cpp
@@ -88,7 +88,7 @@
 void DispatchDesk::tick()
 {
     if (dispatcher_) {
-        dispatcher_->tick(monotonicNow(), wallTimeNow());
+        dispatcher_->wake();
     }
 }
 
--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -81,7 +81,9 @@
     if (std::exchange(woken_, true)) {
         return;
     }
-    round_.expires_after(roundPause);
+    // A long round is followed by as long a pause: what comes meanwhile is decided together, and
+    // the loop has time for everything else.
+    round_.expires_after(std::max<Microseconds>(roundPause, lastRound_));
     round_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
         const std::shared_ptr<Dispatcher> self = weak.lock();
         if (error || !self) {
@@ -116,6 +118,7 @@
     const MonotonicTime now = monotonicNow();
     const Microseconds took = std::chrono::duration_cast<Microseconds>(now - began);
     parts_.metrics.observe({"dispatch_round_seconds", ""}, took);
+    lastRound_ = took;
     ++sums_.rounds;
     sums_.total += took;
     sums_.longest = std::max(sums_.longest, took);
--- a/src/services/dispatcher.h
+++ b/src/services/dispatcher.h
@@ -119,6 +119,7 @@
     // Tickets of placements that are not started yet.
     std::map<TaskRef, Ticket> ticketsOf_;
     MonotonicTime forgetDue_ {};
+    Microseconds lastRound_ {0}; // time that the newest round took
     RoundSums sums_;
     MonotonicTime sumsDue_ {};
 };
--- a/src/services/graphdesk.cpp
+++ b/src/services/graphdesk.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/// A count of pending jobs is told again for this long.
+constexpr Milliseconds pendingLife {200};
+
 GraphReply replyWith(GraphOutcome outcome)
 {
     GraphReply reply;
@@ -105,7 +108,7 @@
     return graph != nullptr && graph->spec.queue == queue.name ? graph : nullptr;
 }
 
-void GraphDesk::show(const Queue &queue, const GraphId &id, const ReplyHandler &done) const
+void GraphDesk::show(const Queue &queue, const GraphId &id, const ReplyHandler &done)
 {
     GraphReply reply;
     if (id.value().empty()) {
@@ -147,14 +150,20 @@
         });
 }
 
-std::uint64_t GraphDesk::pending(const QueueName &queue) const
+/// Counted for all queues together, as clients ask for every one of them again and again.
+std::uint64_t GraphDesk::pending(const QueueName &queue)
 {
-    std::uint64_t count = 0;
-    for (const GraphId &id : journal_.state().graphs().open()) {
-        const Graph &graph = *journal_.state().graphs().find(id);
-        count += graph.spec.queue == queue && !graph.started ? 1 : 0;
+    const MonotonicTime now = monotonicNow();
+    const Term term = journal_.consensus()->term();
+    if (!pending_ || pending_->term != term || now - pending_->countedAt >= pendingLife) {
+        pending_ = Pending {term, now, {}};
+        for (const GraphId &id : journal_.state().graphs().waiting()) {
+            const Graph &graph = *journal_.state().graphs().find(id);
+            pending_->jobs[graph.spec.queue] += graph.started ? 0 : 1;
+        }
     }
-    return count;
+    const auto found = pending_->jobs.find(queue);
+    return found == pending_->jobs.end() ? 0 : found->second;
 }
 
 void GraphDesk::handle(const CatalogCall &call, const ReplyHandler &done)
--- a/src/services/graphdesk.h
+++ b/src/services/graphdesk.h
@@ -5,6 +5,8 @@
 #include "src/services/interfaces.h"
 
 #include <functional>
+#include <map>
+#include <optional>
 
 namespace crocusmill
 {
@@ -21,12 +23,21 @@
 private:
     void submit(
         const GraphCall &call, const Queue &queue, const GraphId &id, const ReplyHandler &done);
-    void show(const Queue &queue, const GraphId &id, const ReplyHandler &done) const;
+    void show(const Queue &queue, const GraphId &id, const ReplyHandler &done);
     void cancel(const Queue &queue, const GraphId &id, const ReplyHandler &done);
-    [[nodiscard]] std::uint64_t pending(const QueueName &queue) const;
+    [[nodiscard]] std::uint64_t pending(const QueueName &queue);
     [[nodiscard]] const Graph *find(const Queue &queue, const GraphId &id) const;
 
+    /// Jobs of each queue that have not started.
+    struct Pending
+    {
+        Term term; // a VM that leads again may have missed much
+        MonotonicTime countedAt;
+        std::map<QueueName, std::uint64_t> jobs;
+    };
+
     Journal &journal_;
+    std::optional<Pending> pending_;
     std::function<void()> changed_;
 };
 
