--- a/src/cell/fleet.cpp
+++ b/src/cell/fleet.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <ranges>
 #include <utility>
 
 namespace crocusmill
@@ -319,8 +318,8 @@
     if (service == nullptr) {
         return;
     }
-    for (const Held *held : std::ranges::reverse_view(service->open)) {
-        const FleetWorker &worker = held->worker;
+    for (auto held = service->open.end(); held != service->open.begin();) {
+        const FleetWorker &worker = (*--held)->worker;
         if (suits(worker, demand) && !visit(worker)) {
             return;
         }
