--- a/include/crocusmill/ticketbook.h
+++ b/include/crocusmill/ticketbook.h
@@ -10,7 +10,9 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace crocusmill
@@ -25,6 +27,15 @@
     Ticket ticket;
 };
 
+/// A worker that was asked about.
+struct AskedWorker
+{
+    bool allowed = false;
+    Ticket ticket;
+    MonotonicTime validUntil {};
+};
+using AskedWorkers = std::unordered_map<WorkerId, AskedWorker>;
+
 class TicketBook
 {
 public:
@@ -35,38 +46,40 @@
         const std::vector<AllowedWorker> &allowed, MonotonicTime validUntil);
     /// No answer came; the workers may be asked about again.
     void unanswered(const TaskRef &step, const std::vector<WorkerId> &workers);
-    void forget(const TaskRef &step);
+    /// The steps of a job.
+    void forget(const GraphId &graph);
 
     /// A question about the step has no answer yet.
     [[nodiscard]] bool isAsking(const TaskRef &step) const;
+    /// All that the step has asked about.
+    [[nodiscard]] const AskedWorkers &askedFor(const TaskRef &step) const;
     [[nodiscard]] bool wasAsked(const TaskRef &step, const WorkerId &worker) const;
     [[nodiscard]] bool isAllowed(const TaskRef &step, const WorkerId &worker) const;
-    /// Workers that may run the step.
+    /// Workers that may run the step, in no order.
     [[nodiscard]] std::vector<WorkerId> allowed(const TaskRef &step) const;
     /// Those of them whose ticket is still good at `until`.
     [[nodiscard]] std::vector<WorkerId> withTicket(const TaskRef &step, MonotonicTime until) const;
     /// The worker's ticket if it is still good at `until`.
     [[nodiscard]] std::optional<Ticket> ticket(
         const TaskRef &step, const WorkerId &worker, MonotonicTime until) const;
+    /// Steps that may run on the worker.
+    [[nodiscard]] const std::set<TaskRef> &allowedOn(const WorkerId &worker) const;
     /// Steps that something is kept for.
     [[nodiscard]] std::vector<TaskRef> steps() const;
 
 private:
-    struct Entry
-    {
-        bool allowed = false;
-        Ticket ticket;
-        MonotonicTime validUntil {};
-    };
     struct Step
     {
         std::uint32_t questions = 0; // without an answer yet
-        std::map<WorkerId, Entry> workers; // those asked about
+        AskedWorkers workers;
     };
 
-    [[nodiscard]] const Entry *find(const TaskRef &step, const WorkerId &worker) const;
+    void disallow(const TaskRef &step, const WorkerId &worker);
+    [[nodiscard]] const AskedWorker *find(const TaskRef &step, const WorkerId &worker) const;
 
     std::map<TaskRef, Step> steps_;
+    // Invariant: the steps that are allowed on each worker; none is empty.
+    std::unordered_map<WorkerId, std::set<TaskRef>> allowedOn_;
 };
 
 } // namespace crocusmill
--- a/src/cell/fleet.cpp
+++ b/src/cell/fleet.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace crocusmill
 {
@@ -11,14 +12,6 @@
 namespace
 {
 
-/// A filling task gets what others leave and counts for memory alone.
-TaskSize countedSize(const StepSpec &spec)
-{
-    TaskSize size = spec.size;
-    size.milliCores = spec.fills ? 0 : size.milliCores;
-    return size;
-}
-
 template <typename T> std::uint64_t fitting(T capacity, T used, T size)
 {
     if (size == 0) {
@@ -48,18 +41,91 @@
     return std::int64_t {capacity.milliCores} - std::int64_t {used.milliCores};
 }
 
+template <typename T> T left(T capacity, T used)
+{
+    return capacity - std::min(capacity, used);
+}
+
 } // namespace
 
+TaskSize countedSize(const StepSpec &spec)
+{
+    TaskSize size = spec.size;
+    size.milliCores = spec.fills ? 0 : size.milliCores;
+    return size;
+}
+
+bool Fleet::MoreUsed::operator()(const Held *left, const Held *right) const
+{
+    const std::int64_t leftFree = freeMilliCores(left->worker.capacity, left->used);
+    const std::int64_t rightFree = freeMilliCores(right->worker.capacity, right->used);
+    return leftFree != rightFree ? leftFree < rightFree : left->worker.id < right->worker.id;
+}
+
+bool Fleet::MoreUsed::operator()(const Held *held, std::int64_t free) const
+{
+    return freeMilliCores(held->worker.capacity, held->used) < free;
+}
+
+bool Fleet::MoreUsed::operator()(std::int64_t free, const Held *held) const
+{
+    return free < freeMilliCores(held->worker.capacity, held->used);
+}
+
+Fleet::Held &Fleet::heldOf(const WorkerId &worker)
+{
+    const auto [place, isNew] = workers_.try_emplace(worker);
+    if (isNew) {
+        place->second.worker.id = worker;
+        enter(place->second);
+    }
+    return place->second;
+}
+
+void Fleet::withdraw(Held &held)
+{
+    if (held.worker.open) {
+        held.service->open.erase(&held);
+        held.service->openMilliCores -= held.worker.capacity.milliCores;
+    }
+    held.service->usedMilliCores -= held.used.milliCores;
+}
+
+void Fleet::enter(Held &held)
+{
+    held.service = &services_[held.worker.service];
+    if (held.worker.open) {
+        held.service->open.insert(&held);
+        held.service->openMilliCores += held.worker.capacity.milliCores;
+    }
+    held.service->usedMilliCores += held.used.milliCores;
+}
+
+const Fleet::Service *Fleet::find(const ServiceName &service) const
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? nullptr : &found->second;
+}
+
 void Fleet::setWorker(const FleetWorker &worker)
 {
-    workers_[worker.id].worker = worker;
+    Held &held = heldOf(worker.id);
+    if (held.worker != worker) {
+        withdraw(held);
+        held.worker = worker;
+        enter(held);
+        noteGain(held, true);
+    }
 }
 
 void Fleet::setOpen(const WorkerId &worker, bool open)
 {
     const auto found = workers_.find(worker);
-    if (found != workers_.end()) {
+    if (found != workers_.end() && found->second.worker.open != open) {
+        withdraw(found->second);
         found->second.worker.open = open;
+        enter(found->second);
+        noteGain(found->second, true);
     }
 }
 
@@ -69,8 +135,9 @@
     if (found == workers_.end()) {
         return;
     }
-    found->second.worker.open = false;
-    if (found->second.perStep.empty()) {
+    setOpen(worker, false);
+    if (found->second.tasks == 0) {
+        withdraw(found->second);
         workers_.erase(found);
     }
 }
@@ -83,26 +150,61 @@
 
 void Fleet::take(const WorkerId &worker, const TaskRef &task, const StepSpec &spec)
 {
-    Held &held = workers_[worker];
-    held.worker.id = worker;
+    Held &held = heldOf(worker);
     const TaskSize size = countedSize(spec);
+    withdraw(held);
     held.used.milliCores += size.milliCores;
     held.used.memory = ByteCount {held.used.memory.value() + size.memory.value()};
     held.used.accelerators += size.accelerators;
-    ++held.perStep[stepOf(task)];
+    enter(held);
+    ++held.tasks;
+    if (spec.mostPerWorker > 0) {
+        ++held.perStep[stepOf(task)];
+    }
 }
 
 void Fleet::release(const WorkerId &worker, const TaskRef &task, const StepSpec &spec)
 {
-    Held &held = workers_[worker];
+    Held &held = heldOf(worker);
     const TaskSize size = countedSize(spec);
+    withdraw(held);
     held.used.milliCores -= size.milliCores;
     held.used.memory = ByteCount {held.used.memory.value() - size.memory.value()};
     held.used.accelerators -= size.accelerators;
+    enter(held);
+    --held.tasks;
     const auto count = held.perStep.find(stepOf(task));
-    if (--count->second == 0) {
+    if (count != held.perStep.end() && --count->second == 0) {
         held.perStep.erase(count);
     }
+    noteGain(held, false);
+    gains_.steps.push_back(stepOf(task));
+}
+
+void Fleet::noteGain(const Held &held, bool isOther)
+{
+    if (held.worker.open) {
+        gains_.workers.insert(held.worker.id);
+        gains_.opened = gains_.opened || isOther;
+    }
+}
+
+FleetGains Fleet::takeGains()
+{
+    return std::exchange(gains_, {});
+}
+
+TaskSize Fleet::roomOn(const WorkerId &worker) const
+{
+    const auto found = workers_.find(worker);
+    if (found == workers_.end() || !found->second.worker.open) {
+        return {};
+    }
+    const TaskSize &capacity = found->second.worker.capacity;
+    const TaskSize &used = found->second.used;
+    return {left(capacity.milliCores, used.milliCores),
+        ByteCount {left(capacity.memory.value(), used.memory.value())},
+        left(capacity.accelerators, used.accelerators)};
 }
 
 bool Fleet::suits(const FleetWorker &worker, const StepDemand &demand)
@@ -152,8 +254,19 @@
 std::vector<FleetChoice> Fleet::choose(const StepDemand &demand) const
 {
     std::vector<Candidate> candidates;
-    for (const std::pair<const WorkerId, Held> &known : workers_) {
-        consider(known.second, demand, candidates);
+    const Service *service = find(demand.service);
+    if (service == nullptr) {
+        return {};
+    }
+    const std::int64_t least = countedSize(*demand.spec).milliCores;
+    // Elsewhere the first ones in the order of free cores are those that are chosen.
+    const bool needsAll = demand.spec->oneRack || !demand.spec->dataRack.value().empty();
+    std::uint64_t tasks = 0;
+    for (auto held = least == 0 ? service->open.begin() : service->open.lower_bound(least);
+         held != service->open.end() && (needsAll || tasks < demand.waiting.size()); ++held) {
+        const std::size_t before = candidates.size();
+        consider(**held, demand, candidates);
+        tasks += candidates.size() > before ? candidates.back().tasks : 0;
     }
     return chooseFrom(demand, std::move(candidates));
 }
@@ -176,11 +289,8 @@
 {
     std::sort(
         candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
-            if (left.preferred != right.preferred) {
-                return left.preferred;
-            }
-            return freeMilliCores(left.held->worker.capacity, left.held->used)
-                < freeMilliCores(right.held->worker.capacity, right.held->used);
+            return left.preferred != right.preferred ? left.preferred
+                                                     : MoreUsed {}(left.held, right.held);
         });
     if (demand.spec->oneRack) {
         std::set<RackId> racks;
@@ -201,43 +311,41 @@
     return fill(demand, candidates);
 }
 
-std::vector<WorkerId> Fleet::suited(const StepDemand &demand) const
+void Fleet::visitSuited(
+    const StepDemand &demand, const std::function<bool(const FleetWorker &)> &visit) const
 {
-    std::vector<const Held *> found;
-    for (const std::pair<const WorkerId, Held> &known : workers_) {
-        if (suits(known.second.worker, demand)) {
-            found.push_back(&known.second);
+    const Service *service = find(demand.service);
+    if (service == nullptr) {
+        return;
+    }
+    for (auto held = service->open.end(); held != service->open.begin();) {
+        const FleetWorker &worker = (*--held)->worker;
+        if (suits(worker, demand) && !visit(worker)) {
+            return;
         }
     }
-    std::sort(found.begin(), found.end(), [](const Held *left, const Held *right) {
-        return freeMilliCores(left->worker.capacity, left->used)
-            > freeMilliCores(right->worker.capacity, right->used);
-    });
+}
+
+std::vector<WorkerId> Fleet::suited(const StepDemand &demand) const
+{
     std::vector<WorkerId> ids;
-    ids.reserve(found.size());
-    for (const Held *held : found) {
-        ids.push_back(held->worker.id);
-    }
+    visitSuited(demand, [&ids](const FleetWorker &worker) {
+        ids.push_back(worker.id);
+        return true;
+    });
     return ids;
 }
 
 std::uint64_t Fleet::openMilliCores(const ServiceName &service) const
 {
-    std::uint64_t sum = 0;
-    for (const std::pair<const WorkerId, Held> &known : workers_) {
-        const FleetWorker &worker = known.second.worker;
-        sum += worker.open && worker.service == service ? worker.capacity.milliCores : 0;
-    }
-    return sum;
+    const Service *known = find(service);
+    return known == nullptr ? 0 : known->openMilliCores;
 }
 
 std::uint64_t Fleet::usedMilliCores(const ServiceName &service) const
 {
-    std::uint64_t sum = 0;
-    for (const std::pair<const WorkerId, Held> &known : workers_) {
-        sum += known.second.worker.service == service ? known.second.used.milliCores : 0;
-    }
-    return sum;
+    const Service *known = find(service);
+    return known == nullptr ? 0 : known->usedMilliCores;
 }
 
 } // namespace crocusmill
--- a/src/cell/ticketbook.cpp
+++ b/src/cell/ticketbook.cpp
@@ -2,6 +2,8 @@
 
 #include <crocusmill/ticketbook.h>
 
+#include <utility>
+
 namespace crocusmill
 {
 
@@ -23,10 +25,23 @@
     }
     --found->second.questions;
     for (const WorkerId &worker : workers) {
-        found->second.workers[worker].allowed = false;
+        AskedWorker &entry = found->second.workers[worker];
+        if (std::exchange(entry.allowed, false)) {
+            disallow(step, worker);
+        }
     }
     for (const AllowedWorker &known : allowed) {
         found->second.workers[known.worker] = {true, known.ticket, validUntil};
+        allowedOn_[known.worker].insert(step);
+    }
+}
+
+void TicketBook::disallow(const TaskRef &step, const WorkerId &worker)
+{
+    const auto found = allowedOn_.find(worker);
+    found->second.erase(step);
+    if (found->second.empty()) {
+        allowedOn_.erase(found);
     }
 }
 
@@ -42,7 +57,7 @@
     if (found == steps_.end()) {
         return workers;
     }
-    for (const std::pair<const WorkerId, Entry> &known : found->second.workers) {
+    for (const std::pair<const WorkerId, AskedWorker> &known : found->second.workers) {
         if (known.second.allowed && known.second.validUntil >= until) {
             workers.push_back(known.first);
         }
@@ -65,9 +80,17 @@
     }
 }
 
-void TicketBook::forget(const TaskRef &step)
+void TicketBook::forget(const GraphId &graph)
 {
-    steps_.erase(step);
+    auto step = steps_.lower_bound(TaskRef {graph, 0, 0, 0});
+    while (step != steps_.end() && step->first.graph == graph) {
+        for (const std::pair<const WorkerId, AskedWorker> &known : step->second.workers) {
+            if (known.second.allowed) {
+                disallow(step->first, known.first);
+            }
+        }
+        step = steps_.erase(step);
+    }
 }
 
 bool TicketBook::isAsking(const TaskRef &step) const
@@ -76,7 +99,7 @@
     return found != steps_.end() && found->second.questions > 0;
 }
 
-const TicketBook::Entry *TicketBook::find(const TaskRef &step, const WorkerId &worker) const
+const AskedWorker *TicketBook::find(const TaskRef &step, const WorkerId &worker) const
 {
     const auto found = steps_.find(step);
     if (found == steps_.end()) {
@@ -86,6 +109,13 @@
     return entry == found->second.workers.end() ? nullptr : &entry->second;
 }
 
+const AskedWorkers &TicketBook::askedFor(const TaskRef &step) const
+{
+    static const AskedWorkers none;
+    const auto found = steps_.find(step);
+    return found == steps_.end() ? none : found->second.workers;
+}
+
 bool TicketBook::wasAsked(const TaskRef &step, const WorkerId &worker) const
 {
     return find(step, worker) != nullptr;
@@ -93,20 +123,27 @@
 
 bool TicketBook::isAllowed(const TaskRef &step, const WorkerId &worker) const
 {
-    const Entry *entry = find(step, worker);
+    const AskedWorker *entry = find(step, worker);
     return entry != nullptr && entry->allowed;
 }
 
 std::optional<Ticket> TicketBook::ticket(
     const TaskRef &step, const WorkerId &worker, MonotonicTime until) const
 {
-    const Entry *entry = find(step, worker);
+    const AskedWorker *entry = find(step, worker);
     if (entry == nullptr || !entry->allowed || entry->validUntil < until) {
         return std::nullopt;
     }
     return entry->ticket;
 }
 
+const std::set<TaskRef> &TicketBook::allowedOn(const WorkerId &worker) const
+{
+    static const std::set<TaskRef> none;
+    const auto found = allowedOn_.find(worker);
+    return found == allowedOn_.end() ? none : found->second;
+}
+
 std::vector<TaskRef> TicketBook::steps() const
 {
     std::vector<TaskRef> refs;
--- a/src/services/dispatchtickets.cpp
+++ b/src/services/dispatchtickets.cpp
@@ -12,8 +12,6 @@
 namespace
 {
 
-/// Workers that a step asks about first. The more, the more are allowed; each costs time.
-constexpr std::size_t leastAsked = 16;
 constexpr std::size_t mostAsked = 100; // of one question
 /// Of the workers asked about, at least about this share is allowed.
 constexpr double allowedShare = 0.3;
@@ -29,17 +27,19 @@
 
 } // namespace
 
-void Dispatcher::placeTicketed(
+Dispatcher::Tried Dispatcher::placeTicketed(
     const StepDemand &demand, const Graph &graph, const TicketTerms &terms, MonotonicTime now)
 {
     const TaskRef &step = demand.step;
-    const Fleet &fleet = supervisor_->fleet();
     const std::vector<FleetChoice> chosen =
         choose(demand, graph, book_.withTicket(step, now + ticketMargin));
     take(demand, graph, chosen, now);
-    if (chosen.size() == demand.waiting.size() || book_.isAsking(step)
-        || !agents_.mayAsk(terms, leastAsked, now)) {
-        return;
+    const std::size_t placed = chosen.size();
+    if (placed == demand.waiting.size() || book_.isAsking(step)) {
+        return {placed, false};
+    }
+    if (!agents_.mayAsk(terms, leastAsked, now)) {
+        return {placed, true};
     }
     const StepDemand rest = demandOf(graph, step);
     const std::vector<FleetChoice> allowed = choose(rest, graph, book_.allowed(step));
@@ -51,17 +51,20 @@
     }
     if (!workers.empty()) {
         std::size_t spare = 0;
-        for (const WorkerId &worker : fleet.suited(rest)) {
-            const bool other = std::find(workers.begin(), workers.end(), worker) == workers.end();
-            if (spare < renewalSpare && other && book_.isAllowed(step, worker)) {
-                workers.push_back(worker);
+        const AskedWorkers &asked = book_.askedFor(step);
+        supervisor_->fleet().visitSuited(rest, [&](const FleetWorker &worker) {
+            const bool other =
+                std::find(workers.begin(), workers.end(), worker.id) == workers.end();
+            const auto known = asked.find(worker.id);
+            if (other && known != asked.end() && known->second.allowed) {
+                workers.push_back(worker.id);
                 ++spare;
             }
-        }
-        ask(rest, terms, workers, now);
-        return;
+            return spare < renewalSpare;
+        });
+        return {placed, !ask(rest, terms, workers, now)};
     }
-    ask(rest, terms, unasked(rest, mostAsked), now);
+    return {placed, !ask(rest, terms, unasked(rest, mostAsked), now)};
 }
 
 /// Workers with most room that the step has not asked about: enough for its tasks.
@@ -70,27 +73,27 @@
     std::vector<WorkerId> workers;
     double room = 0;
     const double wanted = static_cast<double>(demand.spec->tasks) / allowedShare;
-    for (const WorkerId &id : supervisor_->fleet().suited(demand)) {
+    const AskedWorkers &asked = book_.askedFor(demand.step);
+    supervisor_->fleet().visitSuited(demand, [&](const FleetWorker &worker) {
         if (workers.size() >= most || (workers.size() >= leastAsked && room >= wanted)) {
-            break;
+            return false;
         }
-        if (book_.wasAsked(demand.step, id)) {
-            continue;
+        if (!asked.contains(worker.id)) {
+            const std::uint32_t size = std::max(demand.spec->size.milliCores, 1U);
+            // About half of a worker is in use.
+            room += static_cast<double>(worker.capacity.milliCores) / size / 2;
+            workers.push_back(worker.id);
         }
-        const FleetWorker &worker = *supervisor_->fleet().find(id);
-        const std::uint32_t size = std::max(demand.spec->size.milliCores, 1U);
-        // About half of a worker is in use.
-        room += static_cast<double>(worker.capacity.milliCores) / size / 2;
-        workers.push_back(id);
-    }
+        return true;
+    });
     return workers;
 }
 
-void Dispatcher::ask(const StepDemand &demand, const TicketTerms &terms,
+bool Dispatcher::ask(const StepDemand &demand, const TicketTerms &terms,
     const std::vector<WorkerId> &workers, MonotonicTime now)
 {
     if (workers.empty()) {
-        return;
+        return true; // until other workers come there is nothing to ask
     }
     const TaskRef step = stepRef(demand.step);
     book_.asked(step, workers); // before the answer, which may come at once
@@ -104,6 +107,7 @@
     if (!isPut) {
         book_.unanswered(step, workers);
     }
+    return isPut;
 }
 
 void Dispatcher::answered(const TaskRef &step, const std::vector<WorkerId> &workers,
@@ -113,6 +117,8 @@
         logInfo("tickets.unanswered",
             {{"job", step.graph.value()}, {"workers", std::uint64_t {workers.size()}}});
         book_.unanswered(step, workers);
+        queue_.retry(step);
+        refreshed_.insert(step.graph); // perhaps it asks ahead again
         return;
     }
     const MonotonicTime now = monotonicNow();
@@ -125,32 +131,44 @@
                     std::chrono::duration_cast<Milliseconds>(now - asked).count())}});
     const Milliseconds valid = answer.validity > Milliseconds {0} ? answer.validity : validity;
     book_.answered(step, workers, answer.allowed, now + valid);
+    queue_.retry(step);
     wake();
 }
 
 /// A step whose predecessors all run asks ahead, so that its start need not wait for the answer.
-void Dispatcher::askAhead(
-    const Graph &graph, std::uint32_t occurrence, std::uint32_t step, MonotonicTime now)
+/// Steps that are ready have asked before.
+void Dispatcher::askAhead(MonotonicTime now)
 {
-    const std::vector<GraphStep> &steps = graph.occurrences[occurrence].steps;
-    for (const std::uint32_t earlier : graph.spec.steps[step].after) {
-        for (const GraphTask &task : steps[earlier].tasks) {
-            if (task.phase == TaskPhase::Waiting) {
-                return;
-            }
+    std::vector<TaskRef> asked;
+    for (const TaskRef &step : queue_.ahead()) {
+        if (mayAsk(now) == TicketQueues {}) {
+            break;
+        }
+        if (askedAhead(step, now)) {
+            asked.push_back(step);
         }
     }
-    const Queue *queue = parts_.journal.state().catalog().find(graph.spec.queue);
-    if (queue == nullptr || !queue->tickets || !agents_.mayAsk(*queue->tickets, leastAsked, now)) {
-        return;
+    for (const TaskRef &step : asked) {
+        queue_.askedAhead(step);
+    }
+}
+
+/// False while the question can't be put.
+bool Dispatcher::askedAhead(const TaskRef &step, MonotonicTime now)
+{
+    const Graph *graph = parts_.journal.state().graphs().find(step.graph);
+    if (graph == nullptr || !book_.askedFor(step).empty()) {
+        return true;
+    }
+    const Queue *queue = parts_.journal.state().catalog().find(graph->spec.queue);
+    if (queue == nullptr || !queue->tickets) {
+        return true;
     }
-    const StepDemand demand = demandOf(graph, {graph.spec.id, occurrence, step, 0});
-    const std::vector<WorkerId> suited = supervisor_->fleet().suited(demand);
-    const bool asked = std::any_of(suited.begin(), suited.end(),
-        [&](const WorkerId &worker) { return book_.wasAsked(demand.step, worker); });
-    if (!asked && !book_.isAsking(demand.step)) {
-        ask(demand, *queue->tickets, unasked(demand, mostAsked), now);
+    if (!agents_.mayAsk(*queue->tickets, leastAsked, now)) {
+        return false;
     }
+    const StepDemand demand = demandOf(*graph, step);
+    return ask(demand, *queue->tickets, unasked(demand, mostAsked), now);
 }
 
 void Dispatcher::forgetTickets()
@@ -158,7 +176,7 @@
     for (const TaskRef &step : book_.steps()) {
         const Graph *graph = parts_.journal.state().graphs().find(step.graph);
         if (graph == nullptr || graph->state != GraphState::Open) {
-            book_.forget(step);
+            book_.forget(step.graph);
         }
     }
 }
--- a/src/services/interfaces.h
+++ b/src/services/interfaces.h
@@ -47,12 +47,17 @@
 
     /// Sends without waiting; lost when the peer cannot be reached or does not keep up.
     virtual void deliver(const NodeAddress &to, const Message &message) = 0;
-    /// Errors: PeerError::Unreachable, TimedOut, Undecodable.
+    /// Errors: PeerError::Unreachable, TimedOut, Undecodable. A call to this VM itself has its turn
+    /// among those of the others.
     virtual void call(
         const NodeAddress &to, const Call &call, Milliseconds timeout, ReplyHandler done) = 0;
 
     virtual void onMessage(std::function<void(const Message &)> handler) = 0;
     virtual void onCall(std::function<void(const Call &, ReplyHandler)> handler) = 0;
+    /// Calls keep waiting for their turn while `condition` holds.
+    virtual void holdCallsWhile(const std::function<bool()> & /*condition*/)
+    {
+    }
 };
 
 using ProposeHandler = std::function<void(Result<ApplyReply>)>;
--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -62,6 +62,11 @@
             kernel.find<WorkerLink>(names::workerLink),
             kernel.find<TicketOffice>(names::ticketOffice), settings_.peers.advertise, metrics_);
         peers->onCall([this](const Call &call, const ReplyHandler &done) { handle(call, done); });
+        // While its lease is lapsed nobody else may answer either; callers would come back at once.
+        peers->holdCallsWhile([this]() {
+            const Consensus *consensus = journal_->consensus();
+            return consensus != nullptr && consensus->isLeader() && !journal_->leads();
+        });
         scheduleSweep();
         if (callsWorkers_) {
             scheduleDispatch();
@@ -311,8 +316,11 @@
             }
             const bool lapses = !journal_->leads() && leadsStill();
             if (lapses != std::exchange(lapsed_, lapses)) {
+                const Consensus &consensus = *journal_->consensus();
                 logWarning(lapses ? "leader.lease_lapsed" : "leader.lease_lapse_over",
-                    {{"term", journal_->consensus()->term().value()}});
+                    {{"term", consensus.term().value()},
+                        {"acknowledged_ms",
+                            static_cast<std::uint64_t>(consensus.quorumSilence().count())}});
             }
             if (journal_->leads()) {
                 refreshLeadership();
--- a/src/services/peerlink.h
+++ b/src/services/peerlink.h
@@ -4,7 +4,8 @@
 #pragma once
 
 #include "proto/peer.capnp.h"
-#include "src/net/peerstream.h"
+#include "src/net/messagestream.h"
+#include "src/services/callturns.h"
 #include "src/services/interfaces.h"
 
 #include <capnp/rpc-twoparty.h>
@@ -20,12 +21,18 @@
 {
     std::function<void(const Message &)> message;
     std::function<void(const Call &, ReplyHandler)> call;
+    /// Which call is answered when.
+    std::unique_ptr<CallTurns> turns;
 };
 
 [[nodiscard]] capnp::ReaderOptions peerReaderOptions();
 /// The calls that this VM answers.
 [[nodiscard]] capnp::Capability::Client makePeerServer(std::shared_ptr<Handlers> handlers);
 
+/// The reply to a call that is not handled: GraphOutcome::Refused where there is one, else an
+/// error.
+[[nodiscard]] Result<Reply> refusalOf(CallClass callClass, Milliseconds retryAfter);
+
 /// A call that failed has told its handler so already.
 class IgnoreErrors final : public kj::TaskSet::ErrorHandler
 {
@@ -40,14 +47,14 @@
 {
 public:
     Connection(std::shared_ptr<TlsSocket> socket, capnp::Capability::Client bootstrap)
-        : network_(*(stream_ = makePeerStream(std::move(socket))),
+        : network_(*(stream_ = makeMessageStream(std::move(socket))),
             capnp::rpc::twoparty::Side::SERVER, peerReaderOptions())
         , system_(capnp::makeRpcServer(network_, kj::mv(bootstrap)))
     {
     }
 
     explicit Connection(std::shared_ptr<TlsSocket> socket)
-        : network_(*(stream_ = makePeerStream(std::move(socket))),
+        : network_(*(stream_ = makeMessageStream(std::move(socket))),
             capnp::rpc::twoparty::Side::CLIENT, peerReaderOptions())
         , system_(capnp::makeRpcClient(network_))
     {
@@ -67,7 +74,7 @@
     }
 
 private:
-    kj::Own<kj::AsyncIoStream> stream_;
+    kj::Own<capnp::MessageStream> stream_;
     capnp::TwoPartyVatNetwork network_;
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> system_;
 };
--- a/src/services/runlogs.cpp
+++ b/src/services/runlogs.cpp
@@ -1,6 +1,5 @@
 /// What the log says of runs that are over: by which rule, on what evidence and how old it was.
 
-#include "src/net/clock.h"
 #include "src/net/log.h"
 #include "src/services/runsupervisor.h"
 
@@ -68,13 +67,15 @@
         return "start_refused";
     case OverBy::WorkerReplaced:
         return "worker_replaced";
+    case OverBy::NeverOrdered:
+        return "never_ordered";
     }
     return "unknown";
 }
 
 void RunSupervisor::logOver(const Run &run, const EndedRun &end, OverBy rule) const
 {
-    const MonotonicTime now = monotonicNow();
+    const MonotonicTime now = parts_.clock();
     const Worker &worker = workers_.at(run.placement.worker);
     logInfo("run.over",
         {{"task", asText(end.task)}, {"run", std::uint64_t {end.run.value()}},
@@ -87,21 +88,19 @@
             {"unanswered", std::uint64_t {worker.unanswered}}, {"fence", parts_.fence.value()}});
 }
 
-/// A success that the journal has no use for means that its task was given up too soon.
-void RunSupervisor::logIgnored(const EndList &list) const
+/// A success of a run that is not the current one means that its task was given up too soon.
+void RunSupervisor::logLateSuccess(const WorkerId &worker, const ListedEnd &end) const
 {
-    for (const EndedRun &end : list.ended) {
-        const Graph *graph = parts_.state.graphs().find(end.task.graph);
-        const GraphTask *task = graph == nullptr ? nullptr : graph->find(end.task);
-        if (end.end != RunEnd::Succeeded || task == nullptr || task->run == end.run) {
-            continue;
-        }
-        logWarning("run.end_ignored",
-            {{"task", asText(end.task)}, {"run", std::uint64_t {end.run.value()}},
-                {"worker", list.worker.value()}, {"current_run", std::uint64_t {task->run.value()}},
-                {"current_worker", task->worker.value()}, {"phase", nameOf(task->phase)},
-                {"fence", parts_.fence.value()}});
+    const Graph *graph = parts_.state.graphs().find(end.task.graph);
+    const GraphTask *task = graph == nullptr ? nullptr : graph->find(end.task);
+    if (end.end != RunEnd::Succeeded || task == nullptr || task->run <= end.run) {
+        return;
     }
+    logWarning("run.succeeded_late",
+        {{"task", asText(end.task)}, {"run", std::uint64_t {end.run.value()}},
+            {"worker", worker.value()}, {"current_run", std::uint64_t {task->run.value()}},
+            {"current_worker", task->worker.value()}, {"phase", nameOf(task->phase)},
+            {"fence", parts_.fence.value()}});
 }
 
 RunSupervisor::Load RunSupervisor::load(MonotonicTime now) const
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -2,7 +2,6 @@
 
 #include "src/services/runsupervisor.h"
 
-#include "src/net/clock.h"
 #include "src/net/log.h"
 
 #include <algorithm>
@@ -21,6 +20,8 @@
 RunSupervisor::RunSupervisor(Parts parts, MonotonicTime now)
     : parts_(std::move(parts))
     , now_(now)
+    , ticked_(now)
+    , inStepSince_(now)
     , inheritedLeases_(now + longestLease())
 {
 }
@@ -86,11 +87,19 @@
     }
 }
 
+void RunSupervisor::withdraw(const TaskRef &task)
+{
+    const auto found = runs_.find(task);
+    if (found != runs_.end() && found->second.stage == Stage::Reserved) {
+        endRuns({overAs(found->second, RunEnd::NotStarted)}, OverBy::NeverOrdered);
+    }
+}
+
 void RunSupervisor::start(
     const TaskRef &task, const std::optional<Ticket> &ticket, MonotonicTime now)
 {
     const auto found = runs_.find(task);
-    if (found == runs_.end() || found->second.stage != Stage::Reserved) {
+    if (found == runs_.end() || found->second.stage != Stage::Reserved || found->second.ending) {
         return;
     }
     setStage(found->second, Stage::Starting);
@@ -100,6 +109,10 @@
         endRuns({overAs(found->second, RunEnd::NotStarted)}, OverBy::WorkerReplaced);
         return;
     }
+    if (!isWanted(task, found->second)) {
+        endRuns({overAs(found->second, RunEnd::NotStarted)}, OverBy::NeverOrdered);
+        return;
+    }
     sendStart(task, found->second, now);
 }
 
@@ -143,18 +156,23 @@
             logOver(*run, end, rule);
         }
     }
-    if (fresh.empty()) {
-        return;
+    if (!fresh.empty()) {
+        recordOver(fresh);
     }
-    parts_.propose(EndRuns {fresh, wall_},
-        [self = shared_from_this(), fresh](const Result<ApplyReply> &reply) {
-            for (const EndedRun &end : fresh) {
-                Run *run = self->findRun(end.task, end.run);
-                if (reply) {
-                    self->release(end);
-                } else if (run != nullptr) {
-                    run->ending = false; // unknown: the same is found out and recorded again
-                }
+}
+
+/// A run whose end may be in the journal is ordered no more: the next leader may have placed its
+/// task anew. So the end is recorded until that is known.
+void RunSupervisor::recordOver(const std::vector<EndedRun> &ended)
+{
+    parts_.propose(EndRuns {ended, wall_},
+        [self = shared_from_this(), ended](const Result<ApplyReply> &reply) {
+            if (!reply) {
+                self->overAgain_.insert(self->overAgain_.end(), ended.begin(), ended.end());
+                return;
+            }
+            for (const EndedRun &end : ended) {
+                self->release(end);
             }
             self->parts_.changed();
         });
@@ -162,6 +180,10 @@
 
 void RunSupervisor::tick(MonotonicTime now, WallTime wall)
 {
+    if (now - ticked_ > parts_.times.standstill) {
+        inStepSince_ = now;
+    }
+    ticked_ = now;
     now_ = now;
     wall_ = wall;
     if (now >= sweepDue_) {
@@ -169,6 +191,9 @@
         sweep(now);
     }
     recordEnds();
+    if (!overAgain_.empty() && !retired_) {
+        recordOver(std::exchange(overAgain_, {}));
+    }
     orderDue(now);
 }
 
@@ -227,6 +252,12 @@
         || graph->state == GraphState::Cancelled) {
         return false;
     }
+    const GraphTask *recorded = graph->find(task);
+    const bool current = recorded != nullptr && recorded->run == run.placement.run
+        && (recorded->phase == TaskPhase::Placed || recorded->phase == TaskPhase::Succeeded);
+    if (!current) {
+        return false; // it was given up, or an earlier run has succeeded after all
+    }
     return !gangIsBroken(*graph, task, run);
 }
 
@@ -273,6 +304,11 @@
     return fleet_;
 }
 
+FleetGains RunSupervisor::takeGains()
+{
+    return fleet_.takeGains();
+}
+
 bool RunSupervisor::hasRun(const TaskRef &task) const
 {
     return runs_.contains(task);
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -2,10 +2,12 @@
 ///
 /// A run counts on its worker until it is proved over: its end was listed, a list that was asked
 /// for after its start or stop was answered lacks it, its worker's process is gone, or every lease
-/// that the worker may have been given has passed on its clock.
+/// that the worker may have been given has passed on its clock and the worker was looked for in
+/// vain since this VM can hear it.
 
 #pragma once
 
+#include "src/net/clock.h"
 #include "src/services/interfaces.h"
 #include "src/services/workerlink.h"
 
@@ -46,8 +48,14 @@
     /// How often every run and every worker is looked at. Runs that wait for an order are looked at
     /// in each round.
     Milliseconds sweep {100};
-    /// A worker says that it leaves shortly before its process ends.
+    /// Rounds further apart than this show that this VM stood still, or could not hear workers.
+    Milliseconds standstill {500};
+    /// A call that is over later than this after its limit says nothing about its worker.
+    Milliseconds lateness {200};
+    /// A worker that said that it leaves, and has no runs, is forgotten after this.
     Milliseconds departure {1'000};
+    /// A connection that fails sooner was refused; one that is not answered fails later.
+    Milliseconds refusal {100};
 };
 
 class RunSupervisor : public std::enable_shared_from_this<RunSupervisor>
@@ -66,6 +74,7 @@
         SupervisorTimes times;
         /// Something ended: a round is due, which records it, or has room to give away.
         std::function<void()> changed;
+        std::function<MonotonicTime()> clock = monotonicNow;
     };
 
     RunSupervisor(Parts parts, MonotonicTime now);
@@ -83,6 +92,8 @@
     void reserve(const RunPlacement &placement, const StepSpec &spec);
     /// The placement was not recorded.
     void cancelReservation(const TaskRef &task);
+    /// Whether the placement was recorded is not known: it is taken back.
+    void withdraw(const TaskRef &task);
     /// The placement was recorded: the run is started.
     void start(const TaskRef &task, const std::optional<Ticket> &ticket, MonotonicTime now);
 
@@ -97,6 +108,8 @@
     [[nodiscard]] Load load(MonotonicTime now) const;
 
     [[nodiscard]] const Fleet &fleet() const;
+    /// What the fleet gained since this was called last.
+    [[nodiscard]] FleetGains takeGains();
     /// A run of the task counts on some worker.
     [[nodiscard]] bool hasRun(const TaskRef &task) const;
     /// Workers that may be called, for the VM that leads next.
@@ -140,9 +153,12 @@
         bool holding = false;
         MonotonicTime nextHold {};
         std::uint32_t unanswered = 0; // holds in a row
+        bool answers = false; // the newest hold that is over was answered, and in time
+        MonotonicTime askedInVain {}; // when the newest of them was sent
         EndNumber recorded; // ends up to this one are in the journal
         std::set<TaskRef> runs;
         std::optional<MonotonicTime> leavesAt; // it said that it leaves
+        bool gone = false; // and nobody listens there any more
         std::uint32_t refusals = 0; // orders refused in a row
         MonotonicTime refusedUntil {};
     };
@@ -164,6 +180,7 @@
     void updateFleet(const Worker &worker, MonotonicTime now);
     [[nodiscard]] bool isOpen(const Worker &worker, MonotonicTime now) const;
     [[nodiscard]] Milliseconds longestLease() const;
+    [[nodiscard]] bool isSilent(const Worker &worker, MonotonicTime now) const;
     [[nodiscard]] bool isTrusted(const Worker &worker, MonotonicTime now) const;
     [[nodiscard]] std::optional<WorkerTime> lease(Worker &worker, MonotonicTime now);
 
@@ -177,8 +194,10 @@
     [[nodiscard]] bool gangIsBroken(const Graph &graph, const TaskRef &task, const Run &run) const;
 
     void hold(const WorkerId &id, Worker &worker, MonotonicTime now);
+    void holdFailed(const WorkerId &id, Worker &worker, HoldError error, MonotonicTime sent,
+        Milliseconds limit);
     void holdAnswered(const WorkerId &id, const Incarnation &incarnation,
-        const HoldOutcome &outcome, MonotonicTime sent);
+        const HoldOutcome &outcome, MonotonicTime sent, Milliseconds limit);
     void takeReport(
         const WorkerId &id, Worker &worker, const HoldReport &report, MonotonicTime sent);
     void takeRunning(const WorkerId &id, Worker &worker, const ListedRun &listed);
@@ -204,11 +223,13 @@
         IncarnationGone, // another process answers at its address
         StartRefused,
         WorkerReplaced, // before the start was ordered
+        NeverOrdered, // its placement may not have been recorded
     };
     [[nodiscard]] static std::string_view text(OverBy rule);
     void endRuns(const std::vector<EndedRun> &ended, OverBy rule);
+    void recordOver(const std::vector<EndedRun> &ended);
     void logOver(const Run &run, const EndedRun &end, OverBy rule) const;
-    void logIgnored(const EndList &list) const;
+    void logLateSuccess(const WorkerId &worker, const ListedEnd &end) const;
     [[nodiscard]] EndedRun overAs(const Run &run, RunEnd end) const;
     void release(const EndedRun &ended);
     [[nodiscard]] Run *findRun(const TaskRef &task, RunNumber number);
@@ -217,6 +238,8 @@
     bool retired_ = false;
     MonotonicTime now_;
     WallTime wall_ {};
+    MonotonicTime ticked_;
+    MonotonicTime inStepSince_; // this VM has led and has not stood still
     MonotonicTime inheritedLeases_; // when every lease of earlier leaders is over
     Fleet fleet_;
     WorkerHealth health_;
@@ -227,6 +250,7 @@
     std::set<TaskRef> ordersDue_;
     MonotonicTime sweepDue_ {};
     std::vector<EndList> listedEnds_; // not proposed yet
+    std::vector<EndedRun> overAgain_; // whether they were recorded is not known
 };
 
 } // namespace crocusmill
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -1,6 +1,5 @@
 /// Workers: heard, trusted, gone.
 
-#include "src/net/clock.h"
 #include "src/net/log.h"
 #include "src/services/runsupervisor.h"
 
@@ -102,10 +101,12 @@
     worker.leaseOver = worker.known ? now + longestLease() : inheritedLeases_;
     worker.answered = {};
     worker.unanswered = 0;
+    worker.answers = false;
     worker.recorded = {};
     worker.holding = false;
     worker.nextHold = now;
     worker.leavesAt.reset();
+    worker.gone = false;
     worker.refusals = 0;
     worker.refusedUntil = {};
     health_.forget(heartbeat.id);
@@ -150,6 +151,16 @@
     updateFleet(found->second, now);
 }
 
+/// It was looked for since this VM can hear it. A lease that has passed proves that a run is over,
+/// and not how it ended: a worker that can be reached still lists that.
+bool RunSupervisor::isSilent(const Worker &worker, MonotonicTime now) const
+{
+    if (!worker.known) {
+        return now - inStepSince_ >= parts_.times.trust;
+    }
+    return worker.unanswered > 0 && worker.askedInVain >= inStepSince_;
+}
+
 bool RunSupervisor::isTrusted(const Worker &worker, MonotonicTime now) const
 {
     return worker.known && !worker.leavesAt && worker.unanswered == 0
@@ -196,8 +207,9 @@
     if (worker.known && !worker.holding && now >= worker.nextHold) {
         hold(id, worker, now);
     }
-    const bool departed = worker.leavesAt && now >= *worker.leavesAt;
-    if (departed || now >= worker.leaseOver) {
+    // Its word that it leaves is no proof: without an acknowledgement it goes on for a while.
+    const bool leaseOver = now >= worker.leaseOver && isSilent(worker, now);
+    if (worker.gone || leaseOver) {
         std::vector<EndedRun> lost;
         for (const TaskRef &task : worker.runs) {
             const Run &run = runs_.at(task);
@@ -205,8 +217,9 @@
                 lost.push_back(overAs(run, RunEnd::Lost));
             }
         }
-        endRuns(lost, departed ? OverBy::WorkerLeft : OverBy::LeasePassed);
+        endRuns(lost, worker.gone ? OverBy::WorkerLeft : OverBy::LeasePassed);
     }
+    const bool departed = worker.leavesAt && now >= *worker.leavesAt;
     const bool forgotten = worker.known && worker.runs.empty() && !worker.holding
         && (departed || now - worker.heard > silentWorkerKept);
     if (forgotten) {
--- a/src/services/workerlink.h
+++ b/src/services/workerlink.h
@@ -68,6 +68,9 @@
     Checkpoint saved;
 };
 
+/// A list has no more ends than this at a time; later ones follow once these are acknowledged.
+inline constexpr std::size_t mostEndsListed = 500;
+
 struct HoldOrder
 {
     FencingToken fence;
@@ -84,7 +87,12 @@
     std::vector<ListedEnd> ended;
 };
 
-enum class HoldError { Unanswered, OtherIncarnation, Fenced };
+enum class HoldError {
+    Unanswered,
+    NotConnected, // no byte was written: nobody listens there, or no answer to that in time
+    OtherIncarnation,
+    Fenced,
+};
 
 struct HoldOutcome
 {
--- a/src/state/graphbook.cpp
+++ b/src/state/graphbook.cpp
@@ -110,6 +110,7 @@
     graphs_.emplace(command.spec.id, CopyOnWrite<Graph> {std::move(graph)});
     open_.insert(command.spec.id);
     waiting_.insert(command.spec.id);
+    noteChanged(command.spec.id);
     return true;
 }
 
@@ -200,27 +201,36 @@
     if (ended.end == RunEnd::Failed) {
         failRun(graph, ended); // also an older run, which was given up as lost
     }
+    const StepSpec &spec = graph.spec.steps[ended.task.step];
+    if (ended.end == RunEnd::Succeeded && !spec.lasting && ended.run <= task->run) {
+        succeedRun(graph, ended);
+        return;
+    }
     const bool current = task->run == ended.run
         && (task->phase == TaskPhase::Placed || task->phase == TaskPhase::Waiting);
     if (!current) {
         return;
     }
-    const StepSpec &spec = graph.spec.steps[ended.task.step];
-    GraphStep &step = graph.occurrences[ended.task.occurrence].steps[ended.task.step];
     if (!ended.saved.value().empty()) {
         task->saved = ended.saved;
     }
-    if (ended.end == RunEnd::Succeeded && !spec.lasting) {
-        task->phase = TaskPhase::Succeeded;
-        for (GraphTask &member : step.tasks) {
-            // The members of a gang end together.
-            const bool together = spec.gang && member.run == ended.run
-                && member.phase != TaskPhase::Succeeded && member.phase != TaskPhase::GivenUp;
-            member.phase = together ? TaskPhase::Succeeded : member.phase;
+    task->phase = graph.state == GraphState::Open ? TaskPhase::Waiting : TaskPhase::GivenUp;
+}
+
+/// Also of an older run, which was given up as lost: the newer one is of no use any more. The
+/// members of a gang succeed together.
+void GraphBook::succeedRun(Graph &graph, const EndedRun &ended)
+{
+    const bool gang = graph.spec.steps[ended.task.step].gang;
+    GraphStep &step = graph.occurrences[ended.task.occurrence].steps[ended.task.step];
+    for (std::uint32_t number = 0; number < step.tasks.size(); ++number) {
+        GraphTask &task = step.tasks[number];
+        const bool open = task.phase == TaskPhase::Placed || task.phase == TaskPhase::Waiting;
+        if (open && ended.run <= task.run && (gang || number == ended.task.task)) {
+            task.phase = TaskPhase::Succeeded;
+            task.run = ended.run;
         }
-        return;
     }
-    task->phase = graph.state == GraphState::Open ? TaskPhase::Waiting : TaskPhase::GivenUp;
 }
 
 /// Closes a job whose fate is decided.
@@ -257,8 +267,20 @@
     }
 }
 
+void GraphBook::noteChanged(const GraphId &id)
+{
+    revision_ = GraphRevision {revision_.value() + 1};
+    const auto [known, isNew] = revisions_.try_emplace(id, revision_);
+    if (!isNew) {
+        changes_.erase(known->second);
+        known->second = revision_;
+    }
+    changes_.emplace(revision_, id);
+}
+
 void GraphBook::noteWaiting(const Graph &graph)
 {
+    noteChanged(graph.spec.id);
     if (graph.state == GraphState::Open && hasTask(graph, TaskPhase::Waiting)) {
         waiting_.insert(graph.spec.id);
     } else {
@@ -287,6 +309,7 @@
     }
     if (found->second->state == GraphState::Open) {
         close(found->second.edit(), GraphState::Cancelled, command.at);
+        noteChanged(command.graph);
     }
     return true;
 }
@@ -298,6 +321,9 @@
         if (found->second->endedAt >= before || hasTask(*found->second, TaskPhase::Placed)) {
             return;
         }
+        const auto known = revisions_.find(found->first);
+        changes_.erase(known->second);
+        revisions_.erase(known);
         graphs_.erase(found);
         ended_.pop_front();
     }
@@ -319,6 +345,20 @@
     return waiting_;
 }
 
+GraphRevision GraphBook::revision() const
+{
+    return revision_;
+}
+
+std::vector<GraphId> GraphBook::changedSince(GraphRevision revision) const
+{
+    std::vector<GraphId> changed;
+    for (auto change = changes_.upper_bound(revision); change != changes_.end(); ++change) {
+        changed.push_back(change->second);
+    }
+    return changed;
+}
+
 const std::map<GraphId, CopyOnWrite<Graph>> &GraphBook::all() const
 {
     return graphs_;
@@ -345,6 +385,8 @@
     open_.clear();
     waiting_.clear();
     ended_.clear();
+    changes_.clear();
+    revisions_.clear();
     for (Graph &graph : graphs) {
         const GraphId id = graph.spec.id;
         if (graph.state == GraphState::Open) {
@@ -352,6 +394,7 @@
             noteWaiting(graph);
         } else {
             ended_.push_back(id);
+            noteChanged(id);
         }
         graphs_.emplace(id, CopyOnWrite<Graph> {std::move(graph)});
     }
--- a/src/wire/json.h
+++ b/src/wire/json.h
@@ -1,7 +1,7 @@
 /// Conversion of described structs, strong types and tagged variants to JSON and back.
 ///
-/// One codec serves the journal's commands, its snapshots and the calls between VMs, so that a
-/// record has one form wherever it is seen.
+/// Snapshots and what operators read are in this form, and so are records of earlier versions.
+/// What is written often is in that of binary.h.
 
 #pragma once
 
@@ -93,12 +93,15 @@
 namespace crocusmill
 {
 
+/// Values nested deeper are refused.
+inline constexpr std::size_t mostNestedJson = 32;
+
 /// Bodies are arbitrary bytes, so invalid UTF-8 passes through strings unchanged.
 [[nodiscard]] inline boost::json::parse_options byteTransparent()
 {
     boost::json::parse_options options;
     options.allow_invalid_utf8 = true;
-    options.max_depth = 32;
+    options.max_depth = mostNestedJson;
     return options;
 }
 
--- /dev/null
+++ b/test/fakes/runrules.h
@@ -0,0 +1,250 @@
+/// What may not happen to the tasks of a job, judged from what workers saw alone.
+
+#pragma once
+
+#include "src/services/workerlink.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace crocusmill::fakes
+{
+
+/// Keeps every start and end, and names the rules that they break.
+class RunRules
+{
+public:
+    /// One life of a worker's process.
+    using Process = std::size_t;
+
+    void submitted(const GraphSpec &spec)
+    {
+        specs_[spec.id] = spec;
+    }
+
+    void cancelled(const GraphId &graph, MonotonicTime acknowledged)
+    {
+        cancelledAt_.try_emplace(graph, acknowledged);
+    }
+
+    /// A process began to run a task, on an order that was sent at `sent`.
+    void began(
+        const TaskRef &task, RunNumber run, Process process, MonotonicTime sent, MonotonicTime now)
+    {
+        if (!specs_.contains(task.graph)) {
+            broken("UNASKED", task, run, "nobody submitted the job");
+            return;
+        }
+        for (const auto &[other, where] : running_) {
+            if (std::get<0>(other) == task) {
+                broken("TWICE", task, run, "beside run " + runText(std::get<1>(other)));
+            }
+        }
+        starts_[task].push_back({run, now});
+        judgeOrder(task, run);
+        const auto cancelled = cancelledAt_.find(task.graph);
+        if (cancelled != cancelledAt_.end() && sent > cancelled->second + cancelLimit) {
+            broken("UNASKED", task, run, "ordered after the job was cancelled");
+        }
+        running_[{task, run}] = process;
+    }
+
+    /// The end of a run as its worker lists it from now on.
+    void ended(const TaskRef &task, RunNumber run, Process process, EndNumber number, RunEnd end,
+        MonotonicTime now)
+    {
+        running_.erase({task, run});
+        ends_[task].push_back({task, run, process, number, end, now, std::nullopt, std::nullopt});
+        if (end == RunEnd::Succeeded) {
+            succeeded_.insert(task);
+        }
+    }
+
+    /// The process is gone, with all that ran there.
+    void gone(Process process)
+    {
+        gone_.insert(process);
+        std::erase_if(running_, [process](const auto &known) { return known.second == process; });
+    }
+
+    void lapsed(Process process, MonotonicTime now)
+    {
+        lapses_[process].push_back(now);
+    }
+
+    /// Faults beside the control loop's own slowness; ends listed near one need not be noted.
+    void disturbed(MonotonicTime now)
+    {
+        disturbances_.push_back(now);
+    }
+
+    /// A process listed these ends in an answer. Without a disturbance near, they count as noted.
+    void listed(Process process, const std::vector<ListedEnd> &ends, MonotonicTime now)
+    {
+        for (const ListedEnd &listed : ends) {
+            for (End &end : ends_[listed.task]) {
+                if (end.process == process && end.number == listed.number && !end.listed) {
+                    end.listed = now;
+                }
+            }
+        }
+    }
+
+    /// A leader told the process to forget ends up to this one.
+    void acknowledged(Process process, EndNumber upTo, MonotonicTime now)
+    {
+        for (auto &[task, ends] : ends_) {
+            for (End &end : ends) {
+                if (end.process == process && end.number <= upTo && !end.acknowledged) {
+                    end.acknowledged = now;
+                }
+            }
+        }
+    }
+
+    /// What can be said of starts only once all is over, since an end may be noted later.
+    void judgeStarts()
+    {
+        for (const auto &[task, starts] : starts_) {
+            for (const Start &start : starts) {
+                judgeStart(task, start);
+            }
+        }
+    }
+
+    [[nodiscard]] const StepSpec &specOf(const TaskRef &task) const
+    {
+        return specs_.at(task.graph).steps[task.step];
+    }
+
+    [[nodiscard]] bool hasSucceeded(const TaskRef &task) const
+    {
+        const StepSpec &step = specs_.at(task.graph).steps[task.step];
+        TaskRef member = task;
+        for (member.task = 0; step.gang && member.task < step.tasks; ++member.task) {
+            if (succeeded_.contains(member)) {
+                return true;
+            }
+        }
+        return succeeded_.contains(task);
+    }
+
+    [[nodiscard]] bool isRunning(const TaskRef &task) const
+    {
+        const auto found = running_.lower_bound({task, RunNumber {}});
+        return found != running_.end() && std::get<0>(found->first) == task;
+    }
+
+    void broken(const std::string &rule, const TaskRef &task, RunNumber run, const std::string &how)
+    {
+        broken_.push_back(rule + " " + asText(task) + " run " + runText(run) + ": " + how);
+    }
+
+    [[nodiscard]] const std::vector<std::string> &brokenRules() const
+    {
+        return broken_;
+    }
+
+private:
+    struct Start
+    {
+        RunNumber run;
+        MonotonicTime at;
+    };
+
+    struct End
+    {
+        TaskRef task;
+        RunNumber run;
+        Process process;
+        EndNumber number;
+        RunEnd end;
+        MonotonicTime at;
+        std::optional<MonotonicTime> listed;
+        std::optional<MonotonicTime> acknowledged;
+    };
+
+    static constexpr Milliseconds cancelLimit {3'000};
+    static constexpr Milliseconds disturbanceLasts {3'000};
+    static constexpr Milliseconds noteLimit {100};
+
+    static std::string runText(RunNumber run)
+    {
+        return std::to_string(run.value());
+    }
+
+    [[nodiscard]] bool isCalm(MonotonicTime at) const
+    {
+        return std::none_of(
+            disturbances_.begin(), disturbances_.end(), [at](const MonotonicTime &disturbance) {
+                return disturbance > at - disturbanceLasts && disturbance < at + disturbanceLasts;
+            });
+    }
+
+    /// While the process held its lease all along.
+    [[nodiscard]] bool isNoted(const End &end) const
+    {
+        std::optional<MonotonicTime> noted = end.acknowledged;
+        // What a process listed and took along before anyone took note of it, nobody can know.
+        if (end.listed && isCalm(*end.listed) && !gone_.contains(end.process)) {
+            noted = noted ? std::min(*noted, *end.listed + noteLimit) : *end.listed + noteLimit;
+        }
+        const auto lapses = lapses_.find(end.process);
+        if (!noted || lapses == lapses_.end()) {
+            return noted.has_value();
+        }
+        return std::none_of(lapses->second.begin(), lapses->second.end(),
+            [&](const MonotonicTime &lapse) { return lapse >= end.at && lapse <= *noted; });
+    }
+
+    void judgeStart(const TaskRef &task, const Start &start)
+    {
+        std::set<RunNumber> failed;
+        for (const End &end : ends_[task]) {
+            if (end.at >= start.at || !isNoted(end)) {
+                continue;
+            }
+            if (end.end == RunEnd::Succeeded) {
+                broken(
+                    "TWICE", task, start.run, "after run " + runText(end.run) + " had succeeded");
+            } else if (end.end == RunEnd::Failed) {
+                failed.insert(end.run);
+            }
+        }
+        if (failed.size() >= specs_.at(task.graph).attempts) {
+            broken("BUDGET", task, start.run, std::to_string(failed.size()) + " runs had failed");
+        }
+    }
+
+    void judgeOrder(const TaskRef &task, RunNumber run)
+    {
+        const GraphSpec &spec = specs_.at(task.graph);
+        for (const std::uint32_t earlier : spec.steps[task.step].after) {
+            TaskRef before = task;
+            before.step = earlier;
+            for (before.task = 0; before.task < spec.steps[earlier].tasks; ++before.task) {
+                if (!hasSucceeded(before)) {
+                    broken("ORDER", task, run, "before " + asText(before));
+                }
+            }
+        }
+    }
+
+    std::map<GraphId, GraphSpec> specs_;
+    std::map<GraphId, MonotonicTime> cancelledAt_;
+    std::map<std::pair<TaskRef, RunNumber>, Process> running_;
+    std::map<TaskRef, std::vector<Start>> starts_;
+    std::map<TaskRef, std::vector<End>> ends_;
+    std::set<TaskRef> succeeded_;
+    std::map<Process, std::vector<MonotonicTime>> lapses_;
+    std::set<Process> gone_;
+    std::vector<MonotonicTime> disturbances_;
+    std::vector<std::string> broken_;
+};
+
+} // namespace crocusmill::fakes
--- a/test/runsupervisor.cpp
+++ b/test/runsupervisor.cpp
@@ -88,6 +88,14 @@
         }
     }
 
+    /// Rounds all the while: nobody stands still.
+    void tickUntil(Milliseconds later)
+    {
+        for (; passed <= later; passed += Milliseconds {100}) {
+            tick(passed);
+        }
+    }
+
     TaskPhase phase() const
     {
         return state.graphs().find(task.graph)->find(task)->phase;
@@ -113,6 +121,7 @@
     bool mayOrder = true;
     bool failsNext = false; // the next proposal
     MonotonicTime start = monotonicNow();
+    Milliseconds passed {0};
     std::shared_ptr<RunSupervisor> supervisor;
 };
 
@@ -255,6 +264,23 @@
     CHECK(bench.phase() == TaskPhase::Waiting);
 }
 
+TEST_CASE("a list that is full proves nothing of runs that it lacks")
+{
+    Bench bench;
+    bench.begin();
+    bench.link.answerStart(StartOutcome::Started);
+    pause();
+    HoldReport report;
+    for (std::uint64_t number = 1; number <= mostEndsListed; ++number) {
+        const TaskRef other {GraphId {"other"}, 0, 0, static_cast<std::uint32_t>(number)};
+        report.ended.push_back({EndNumber {number}, other, RunNumber {1}, RunEnd::Stopped, {}});
+    }
+    bench.link.answerHold(Bench::running()); // so that the next list is asked for after its start
+    pause();
+    bench.link.answerHold(report);
+    CHECK(bench.phase() == TaskPhase::Placed);
+}
+
 TEST_CASE("a silent worker's runs are over only with its longest lease")
 {
     Bench bench;
@@ -265,9 +291,9 @@
         bench.tick(Milliseconds {300});
     }
     CHECK_FALSE(bench.link.holds.back().order.deadline.has_value());
-    bench.tick(Milliseconds {5'900});
+    bench.tickUntil(Milliseconds {5'900});
     CHECK(bench.phase() == TaskPhase::Placed);
-    bench.tick(Milliseconds {6'900});
+    bench.tickUntil(Milliseconds {6'900});
     CHECK(bench.phase() == TaskPhase::Waiting);
 }
 
@@ -325,9 +351,9 @@
     SECTION("its worker is never heard")
     {
         Bench silent {true};
-        silent.tick(Milliseconds {5'900});
+        silent.tickUntil(Milliseconds {5'900});
         CHECK(silent.phase() == TaskPhase::Placed);
-        silent.tick(Milliseconds {6'500});
+        silent.tickUntil(Milliseconds {6'500});
         CHECK(silent.phase() == TaskPhase::Waiting);
     }
 }
@@ -356,6 +382,17 @@
     CHECK(bench.supervisor->fleet().find(worker)->open);
 }
 
+TEST_CASE("a late answer of an earlier process says nothing of the later one's clock")
+{
+    Bench bench;
+    bench.begin();
+    bench.hear(second); // its clock shows 1 s
+    bench.link.starts.back().done(StartOutcome::Started, WorkerTime {1'000'000});
+    bench.link.answerHold({});
+    REQUIRE(bench.link.holds.back().order.deadline.has_value());
+    CHECK(*bench.link.holds.back().order.deadline < WorkerTime {10'000});
+}
+
 TEST_CASE("what runs without a record is stopped")
 {
     Bench bench;
@@ -381,6 +418,34 @@
     CHECK_FALSE(bench.supervisor->hasRun(task));
 }
 
+TEST_CASE("a run whose task has succeeded in an earlier one is not started, or is stopped")
+{
+    Bench bench;
+    bench.state.apply(EndRuns {{{task, RunNumber {1}, RunEnd::Lost, {}}}, wall}, LogIndex {3});
+    bench.record(1);
+    bench.state.apply(EndRuns {{{task, RunNumber {1}, RunEnd::Lost, {}}}, wall}, LogIndex {4});
+    bench.hear();
+    bench.link.answerHold({});
+    bench.supervisor->reserve({task, RunNumber {2}, worker, first}, stepOf(1));
+    bench.record(2);
+    const Command late = EndRuns {{{task, RunNumber {1}, RunEnd::Succeeded, {}}}, wall};
+    SECTION("before its start")
+    {
+        bench.state.apply(late, LogIndex {++bench.index});
+        bench.supervisor->start(task, std::nullopt, monotonicNow());
+        CHECK(bench.link.starts.empty());
+        CHECK_FALSE(bench.supervisor->hasRun(task));
+    }
+    SECTION("while it runs")
+    {
+        bench.supervisor->start(task, std::nullopt, monotonicNow());
+        bench.link.answerStart(StartOutcome::Started);
+        bench.state.apply(late, LogIndex {++bench.index});
+        bench.tick(Milliseconds {100});
+        CHECK(bench.link.stops.size() == 1);
+    }
+}
+
 TEST_CASE("a VM that leads no more gives no orders and renews no leases")
 {
     Bench bench;
