Jobs: a job without recurrence is due at once on every clock

Callers saw jobs that were accepted and not started for as long as the clock of the VM that had accepted them was ahead: after a change of leaders, or when a leader's clock was stepped back.

Cause: the time of acceptance is written by the accepting leader's clock, and the queue of steps read it as a due time on the clock of the present leader. Graph::isDue() answers for both kinds of jobs: occurrences of a recurring job keep their times, a job without recurrence is always due. The time of acceptance still orders such jobs, so a job from a clock that is ahead is ordered later.

Evidence: the new case of stepqueue failed before (2 checks: the step was not eligible, and it became due 5 s later) and passes now. Ages in the records step.placed and job.ended are 0 if they would be negative.

--- a/include/crocusmill/graphregistry.h
+++ b/include/crocusmill/graphregistry.h
@@ -59,7 +59,11 @@
         std::uint32_t occurrence, std::uint32_t step) const;
     /// Returns the number of the task's next run; members of a gang share it.
     [[nodiscard]] RunNumber nextRun(const TaskRef &ref) const;
+    /// Returns the time from which the objective of the occurrence counts.
     [[nodiscard]] WallTime dueAt(std::uint32_t occurrence) const;
+    /// Returns whether the occurrence may start. A job without recurrence is due at once: its
+    /// acceptance may lie ahead of `now`, as another VM's clock has recorded it.
+    [[nodiscard]] bool isDue(std::uint32_t occurrence, WallTime now) const;
 };
 
 /// Numbers the changes to graphs, starting at 1.
--- a/src/cell/stepqueue.cpp
+++ b/src/cell/stepqueue.cpp
@@ -168,7 +168,7 @@
     std::set<TaskRef> ready;
     TaskRef ref {graph.spec.id, 0, 0, 0};
     for (ref.occurrence = 0; ref.occurrence < graph.occurrences.size(); ++ref.occurrence) {
-        if (graph.dueAt(ref.occurrence) > now) {
+        if (!graph.isDue(ref.occurrence, now)) {
             futureOccurrences_.emplace(graph.dueAt(ref.occurrence), graph.spec.id);
             continue;
         }
--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -348,7 +348,9 @@
 {
     constexpr std::uint64_t milliPerCore = 1000;
     const Fleet &fleet = supervisor_->fleet();
-    const Milliseconds waited = wallTimeNow() - graph.dueAt(demand.step.occurrence);
+    // Negative if another VM, whose clock is ahead, has accepted the job.
+    const Milliseconds waited =
+        std::max(wallTimeNow() - graph.dueAt(demand.step.occurrence), Milliseconds {0});
     logInfo("step.placed",
         {{"job", demand.step.graph.value()}, {"step", std::uint64_t {demand.step.step}},
             {"tasks", std::uint64_t {chosen.size()}}, {"of", std::uint64_t {demand.waiting.size()}},
--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -196,10 +196,10 @@
         if (graph == nullptr || graph->state == GraphState::Open) {
             continue;
         }
+        const Milliseconds took = std::max(graph->endedAt - graph->acceptedAt, Milliseconds {0});
         logInfo("job.ended",
             {{"job", id.value()}, {"succeeded", graph->state == GraphState::Succeeded},
-                {"took_ms",
-                    static_cast<std::uint64_t>((graph->endedAt - graph->acceptedAt).count())}});
+                {"took_ms", static_cast<std::uint64_t>(took.count())}});
     }
 }
 
--- a/src/state/graphregistry.cpp
+++ b/src/state/graphregistry.cpp
@@ -97,6 +97,11 @@
         : spec.recurrence.first + spec.recurrence.interval * occurrence;
 }
 
+bool Graph::isDue(std::uint32_t occurrence, WallTime now) const
+{
+    return spec.recurrence.times == 0 || dueAt(occurrence) <= now;
+}
+
 bool GraphRegistry::submit(const SubmitGraph &command)
 {
     if (graphs_.contains(command.spec.id)) {
--- a/test/stepqueue.cpp
+++ b/test/stepqueue.cpp
@@ -240,6 +240,22 @@
     CHECK(eligibleSteps(queue) == std::vector<TaskRef> {firstStepOf("b")});
 }
 
+TEST_CASE("a job accepted by a VM with a clock that is ahead is attempted at once")
+{
+    GraphRegistry book;
+    const WallTime ahead = start + Milliseconds {5'000};
+    GraphSpec scheduled = graphOf("b", {stepOf(1)});
+    scheduled.recurrence = {1, ahead, Milliseconds {0}};
+    book.submit({graphOf("a", {stepOf(1)}), ahead});
+    book.submit({scheduled, start});
+    StepQueue queue;
+    queue.update(*book.find(GraphId {"a"}), {}, start);
+    queue.update(*book.find(GraphId {"b"}), {}, start);
+    CHECK(eligibleSteps(queue) == std::vector<TaskRef> {firstStepOf("a")});
+    CHECK(queue.advance(start).empty());
+    CHECK(queue.advance(ahead) == std::vector<GraphId> {GraphId {"b"}});
+}
+
 TEST_CASE(
     "a step with tickets waits for room on its own workers, or for its queue to request tickets")
 {
