Entries: a refusal by a queue is no proof of leadership

Callers got refusals from a VM that no longer led, while another one would have served them, and an entry kept such a VM as its leader for as long as it refused calls.

Cause: the queue of a replica refuses a query or submission before anybody has checked whether the replica leads. The entry took each answer but a redirect for the leader's, and each of them as a contact with it, which keeps calls from being sent to the other replicas. A leader that has lost its lease without knowing holds its queue, so it refuses ever more.

Otherwise the call looks for the leader, as after a redirect without one.

Evidence: two new cases of clientservice failed before (a query was refused though another replica answered it, and the refusing one stayed the leader; a call got no answer within its timeout beside refusals) and pass now.

--- a/src/services/clientservice.cpp
+++ b/src/services/clientservice.cpp
@@ -284,6 +284,12 @@
                                                : seeds_[nextReplica_ - replicas_.size()];
     }
 
+    bool isBelievedLeader(const NodeAddress &address) const
+    {
+        return knownLeader_ == address || journal_->leader() == address
+            || (address == self_ && isLeader());
+    }
+
     void forgetLeader(const NodeAddress &address)
     {
         if (knownLeader_ == address) {
@@ -305,8 +311,11 @@
         }
         pending->awaitedReplicas.erase(from);
         const Redirect *redirect = reply ? std::get_if<Redirect>(&reply.value()) : nullptr;
-        if (reply && redirect == nullptr) {
-            learnLeader(from);
+        const bool isRefused = reply && isRefusal(reply.value());
+        if (reply && redirect == nullptr && (!isRefused || isBelievedLeader(from))) {
+            if (!isRefused) {
+                learnLeader(from);
+            }
             complete(pending, checkRefusal(*pending, reply.value()));
             return;
         }
@@ -323,18 +332,25 @@
         }
     }
 
+    /// Returns whether the call was refused unread, by the queue of any replica. Only other answers
+    /// show that the replica leads.
+    static bool isRefusal(const Reply &reply)
+    {
+        const GraphReply *graphReply = std::get_if<GraphReply>(&reply);
+        return graphReply != nullptr && graphReply->outcome == GraphOutcome::Refused;
+    }
+
     /// Replaces a refusal of a submission by a timeout if an earlier copy may have been accepted.
     Result<Reply> checkRefusal(const Pending &pending, const Reply &reply)
     {
-        const GraphReply *graphReply = std::get_if<GraphReply>(&reply);
-        if (graphReply == nullptr || graphReply->outcome != GraphOutcome::Refused) {
+        if (!isRefusal(reply)) {
             return reply;
         }
         const bool canBeAccepted = pending.isOutcomeUnknown || !pending.awaitedReplicas.empty();
         if (pending.callClass == CallClass::Submission && canBeAccepted) {
             return PeerError::TimedOut;
         }
-        return makeRefusal(graphReply->retryAfter);
+        return makeRefusal(std::get<GraphReply>(reply).retryAfter);
     }
 
     void retryLater(const PendingPtr &pending)
--- a/test/clientservice.cpp
+++ b/test/clientservice.cpp
@@ -71,6 +71,11 @@
         answers_.insert_or_assign(from, reply);
     }
 
+    void silence(const NodeAddress &vm)
+    {
+        answers_.erase(vm);
+    }
+
     const std::vector<NodeAddress> &calledAddresses() const
     {
         return calledAddresses_;
@@ -278,6 +283,42 @@
     CHECK_FALSE(fixture.call(shortTimeout).has_value());
 }
 
+TEST_CASE("a replica whose queue refuses a call is not taken for the leader")
+{
+    Fixture fixture;
+    fixture.peers_->answer(vm(1), Redirect {vm(3)});
+    // The second replica is contacted first. Its queue refuses calls before it knows who leads.
+    fixture.peers_->answer(vm(2), graphReply(GraphOutcome::Refused));
+    fixture.peers_->answer(vm(3), graphReply(GraphOutcome::Done));
+    const Call query {graphCall(GraphAction::Show, "a")};
+    CHECK_FALSE(isRefused(fixture.callMany(1, query, defaultTimeout).front()));
+    // The call that found the leader is the last one to the other replica.
+    const std::vector<NodeAddress> &calledAddresses = fixture.peers_->calledAddresses();
+    CHECK_FALSE(isRefused(fixture.callMany(1, query, defaultTimeout).front()));
+    CHECK(std::count(calledAddresses.begin(), calledAddresses.end(), vm(2)) == 1);
+}
+
+TEST_CASE("a new leader is found while the queue of the deposed one refuses calls")
+{
+    Fixture fixture;
+    fixture.peers_->answer(vm(2), PresenceReply {});
+    REQUIRE(fixture.call(defaultTimeout).has_value()); // the second replica leads
+    fixture.peers_->silence(vm(2));
+    fixture.peers_->answer(vm(3), PresenceReply {});
+    std::optional<Result<Reply>> answer;
+    fixture.client_->call(
+        PresenceCall {}, defaultTimeout, [&answer](const Result<Reply> &reply) { answer = reply; });
+    // It was deposed without knowing: it answers no call that was queued, and refuses others.
+    fixture.peers_->answer(vm(2), graphReply(GraphOutcome::Refused));
+    const Call submission {graphCall(GraphAction::Submit, "a")};
+    constexpr Milliseconds interval {50};
+    while (!answer) {
+        static_cast<void>(fixture.callMany(1, submission, defaultTimeout));
+        fixture.control_.run_for(interval);
+    }
+    CHECK(answer->has_value());
+}
+
 TEST_CASE("concurrent queries about one job share a call")
 {
     Fixture fixture;
