Supervisor: a start is ordered only while this VM holds its lease

Workers got start orders, and a lease with each, from a leader whose own lease had lapsed while the placement was recorded. Its successor knows nothing of that lease and may count the worker's runs as over before they are.

Cause: RunSupervisor::start() sent the order without canSendOrders(), which repeated orders and holds ask. The model leaserun has that condition for an order. The run now stays to be started, and the next tick that may send orders sends it; the worker's deadline is set then.

Evidence: the new case of workerevidence failed before (the order was sent) and passes now.

--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -115,7 +115,9 @@
         recordInferredEnds({makeEnd(it->second, RunEnd::NotStarted)}, EndReason::NeverOrdered);
         return;
     }
-    sendStart(task, it->second, now);
+    if (canSendOrders()) {
+        sendStart(task, it->second, now);
+    } // else tick() sends it, once this VM holds its lease again
 }
 
 /// Removes the run and frees its room. To be called when the end is recorded, or when the placement
