Supervisor: a worker keeps its lease while its ends wait for their record

After 2.6 s the worker counted as unresponsive, too.

Cause: the flag of a pending hold stood for two things, a hold without an answer and ends without a record. They are separate now.

--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -104,6 +104,7 @@
     worker.unansweredHoldCount = 0;
     worker.isAnswering = false;
     worker.lastRecordedEnd = {};
+    worker.isRecordingEnds = false;
     worker.isHoldPending = false;
     worker.nextHoldAt = now;
     worker.leavesAt.reset();
@@ -226,7 +227,8 @@
         recordInferredEnds(lost, worker.isGone ? EndReason::WorkerLeft : EndReason::LeasePassed);
     }
     const bool hasDeparted = worker.leavesAt && now >= *worker.leavesAt;
-    const bool shouldForget = worker.hasIncarnation && worker.runs.empty() && !worker.isHoldPending
+    const bool isIdle = worker.runs.empty() && !worker.isHoldPending && !worker.isRecordingEnds;
+    const bool shouldForget = worker.hasIncarnation && isIdle
         && (hasDeparted || now - worker.lastHeartbeatAt > silentWorkerTimeout);
     if (shouldForget) {
         parts_.link.forget(endpointOf(worker));
