Supervisor: an earlier process does not replace the one that got a run

A run that went on was recorded as lost, and its task was started again beside it.

Cause: a leader that had not heard a worker yet took the first heartbeat for that of the newest process, also if it came late from an earlier one. It moved the worker's runs to that process, called it at its old address, and when another process answered there the runs were over at once. The incarnation of the recorded placements shows that a newer process exists, so such a heartbeat counts as late.

Evidence: the new case of workerevidence failed before (the earlier process was called) and passes now.

--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -185,6 +185,7 @@
     [[nodiscard]] bool canSendOrders() const;
     Worker &findOrAddWorker(const WorkerId &id);
     [[nodiscard]] static WorkerEndpoint endpointOf(const Worker &worker);
+    [[nodiscard]] std::optional<Incarnation> newestIncarnation(const Worker &worker) const;
     void replaceIncarnation(Worker &worker, const WorkerHeartbeat &heartbeat, MonotonicTime now);
     void onIncarnationGone(const WorkerId &id, const Incarnation &incarnation);
     void updateFleet(const Worker &worker, MonotonicTime now);
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -31,21 +31,36 @@
     return {worker.heartbeat.id, worker.heartbeat.incarnation, worker.heartbeat.address};
 }
 
-void RunSupervisor::onHeartbeat(const WorkerHeartbeat &heartbeat, MonotonicTime now)
+/// Returns the process of the worker that was heard; before that, the newest process on which a run
+/// was placed, if there is one.
+std::optional<Incarnation> RunSupervisor::newestIncarnation(const Worker &worker) const
 {
-    Worker &worker = findOrAddWorker(heartbeat.id);
     if (worker.hasIncarnation) {
-        const Incarnation &current = worker.heartbeat.incarnation;
-        const bool isStale = isNewer(current, heartbeat.incarnation)
-            || (current == heartbeat.incarnation
-                && heartbeat.sequence <= worker.heartbeat.sequence);
-        if (isStale) {
-            logInfo("worker.late_heartbeat",
-                {{"worker", heartbeat.id.value()}, {"incarnation", heartbeat.incarnation.value()},
-                    {"current", current.value()}, {"sequence", heartbeat.sequence}});
-            return;
+        return worker.heartbeat.incarnation;
+    }
+    std::optional<Incarnation> newest;
+    for (const TaskRef &task : worker.runs) {
+        const Incarnation &placed = runs_.at(task).placement.incarnation;
+        if (!newest || isNewer(placed, *newest)) {
+            newest = placed;
         }
     }
+    return newest;
+}
+
+void RunSupervisor::onHeartbeat(const WorkerHeartbeat &heartbeat, MonotonicTime now)
+{
+    Worker &worker = findOrAddWorker(heartbeat.id);
+    const std::optional<Incarnation> newest = newestIncarnation(worker);
+    const bool isRepeated = worker.hasIncarnation
+        && worker.heartbeat.incarnation == heartbeat.incarnation
+        && heartbeat.sequence <= worker.heartbeat.sequence;
+    if (isRepeated || (newest && isNewer(*newest, heartbeat.incarnation))) {
+        logInfo("worker.late_heartbeat",
+            {{"worker", heartbeat.id.value()}, {"incarnation", heartbeat.incarnation.value()},
+                {"current", newest->value()}, {"sequence", heartbeat.sequence}});
+        return;
+    }
     if (!worker.hasIncarnation || worker.heartbeat.incarnation != heartbeat.incarnation) {
         replaceIncarnation(worker, heartbeat, now);
     }
--- a/test/workerevidence.cpp
+++ b/test/workerevidence.cpp
@@ -91,4 +91,16 @@
     CHECK(fixture.phase() == TaskPhase::Succeeded);
 }
 
+TEST_CASE("a late heartbeat of an earlier process does not replace the one that got the run")
+{
+    Fixture fixture {true};
+    fixture.receiveHeartbeat(Incarnation {"500"}, 9);
+    CHECK(fixture.link.holds.empty());
+    fixture.receiveHeartbeat(firstIncarnation);
+    REQUIRE(fixture.link.holds.size() == 1);
+    CHECK(fixture.link.holds[0].worker.incarnation == firstIncarnation);
+    fixture.link.answerHold(Fixture::runningReport());
+    CHECK(fixture.phase() == TaskPhase::Placed);
+}
+
 } // namespace crocusmill
