Supervisor: an earlier process's answer to a stop settles nothing for its successor

A run that the new process of a worker might still begin was recorded as lost without a stop to that process. If the late answer said that another process lives at the address, the new process itself counted as gone, with all its runs.

Cause: when a worker's process is replaced, its runs are carried over to the new one, but the answer to a stop was matched by task and run number only. It is now matched by incarnation, too. Answers to starts were safe, as a run that is carried over is not to be started any more.

--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -115,15 +115,16 @@
     run.isOrderPending = true;
     parts_.link.stop(endpointOf(worker), task, run.placement.run, parts_.fence,
         parts_.times.orderTimeout,
-        [self = shared_from_this(), task, number = run.placement.run](
-            StopOutcome outcome) { self->onStopAnswered(task, number, outcome); });
+        [self = shared_from_this(), placement = run.placement](
+            StopOutcome outcome) { self->onStopAnswered(placement, outcome); });
 }
 
-void RunSupervisor::onStopAnswered(const TaskRef &task, RunNumber number, StopOutcome outcome)
+/// `placement`: that of the run when the stop was sent.
+void RunSupervisor::onStopAnswered(const RunPlacement &placement, StopOutcome outcome)
 {
-    Run *run = findRun(task, number);
-    if (isRetired_ || run == nullptr) {
-        return;
+    Run *run = findRun(placement.task, placement.run);
+    if (isRetired_ || run == nullptr || run->placement.incarnation != placement.incarnation) {
+        return; // the answer of an earlier process says nothing about the present one
     }
     const MonotonicTime now = parts_.clock();
     run->isOrderPending = false;
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -223,7 +223,7 @@
     void onStartAnswered(
         const TaskRef &task, RunNumber number, const WorkerId &id, StartOutcome outcome);
     void sendStop(const TaskRef &task, Run &run, MonotonicTime now);
-    void onStopAnswered(const TaskRef &task, RunNumber number, StopOutcome outcome);
+    void onStopAnswered(const RunPlacement &placement, StopOutcome outcome);
     void stopUnknownRun(const WorkerId &id, const Worker &worker, const ListedRun &listed);
 
     /// Why a run counts as ended although no list showed its end.
--- a/test/workerevidence.cpp
+++ b/test/workerevidence.cpp
@@ -103,4 +103,25 @@
     CHECK(fixture.phase() == TaskPhase::Placed);
 }
 
+TEST_CASE("the answer of an earlier process to a stop proves nothing about the present one")
+{
+    Fixture fixture;
+    fixture.startRun();
+    fixture.link.answerStart(StartOutcome::Started);
+    fixture.state.apply(CancelGraph {task.graph, wall}, LogIndex {++fixture.index});
+    fixture.tick(Milliseconds {100});
+    REQUIRE(fixture.link.stops.size() == 1);
+    fixture.receiveHeartbeat(secondIncarnation); // the start may reach this process, too
+    fixture.link.stops[0].done(GENERATE(StopOutcome::Answered, StopOutcome::OtherIncarnation));
+    pause();
+    fixture.link.answerHold({});
+    pause();
+    fixture.link.answerHold({});
+    CHECK(fixture.phase() == TaskPhase::Placed);
+    fixture.tick(Milliseconds {200});
+    REQUIRE(fixture.link.stops.size() == 2);
+    CHECK(fixture.link.stops[1].worker.incarnation == secondIncarnation);
+    CHECK(fixture.supervisor->hasRun(task));
+}
+
 } // namespace crocusmill
