Worker calls: a failure of this VM is no evidence about a worker

Runs counted as ended although their worker was alive: at once if the worker had announced its departure and this VM could open no socket, otherwise after their lease.

Cause: every failure to connect was one error, NotConnected, which stood for a process that is gone if it came within 100 ms, and for a worker that was looked for in vain. The error now tells a connection that the host refused from one that this VM could not make for want of descriptors, buffers, memory or ports.

Evidence: a hold without free descriptors gave the error of a refusal, and both cases of workerevidence failed before with that error; they and the case of workercalls pass now. The simulated workers of runrules refuse connections when they are dead, as before.

--- a/src/net/callclient.cpp
+++ b/src/net/callclient.cpp
@@ -152,7 +152,7 @@
             return;
         }
         if (error || std::chrono::steady_clock::now() >= callDeadline_) {
-            finish(HttpResultKind::NotSent);
+            finish(HttpResultKind::NotSent, error);
             return;
         }
         isConnected_ = true;
@@ -246,7 +246,7 @@
         return true;
     }
 
-    void finish(HttpResultKind kind)
+    void finish(HttpResultKind kind, const boost::system::error_code &connectError = {})
     {
         CallClient *client = *owner_;
         if (client == nullptr) {
@@ -255,6 +255,7 @@
         const ConnectionPtr self = shared_from_this();
         HttpOutcome outcome;
         outcome.kind = kind;
+        outcome.connectError = connectError;
         if (kind == HttpResultKind::Answered) {
             outcome.response.result(parser_->status());
             outcome.response.body() = parser_->takeBody();
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -41,6 +41,8 @@
 {
     HttpResultKind kind = HttpResultKind::Broken;
     HttpResponse response;
+    /// With NotSent: why connecting failed, if the system gave a reason. Set by CallClient.
+    boost::system::error_code connectError {};
 };
 
 struct HttpClientLimits
--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -61,9 +61,11 @@
         worker.nextHoldAt = now; // this VM was stalled: the answer may have been in time
         return;
     }
-    worker.isGone = worker.isGone
-        || (worker.leavesAt && error == HoldError::NotConnected
-            && now - sent < parts_.times.maxRefusalDelay);
+    if (error == HoldError::NotSent) {
+        worker.nextHoldAt = now + holdRetryInterval;
+        return;
+    }
+    worker.isGone = worker.isGone || (worker.leavesAt && error == HoldError::Refused);
     ++worker.unansweredHoldCount;
     worker.unansweredHoldSentAt = sent;
     worker.nextHoldAt = now + holdRetryInterval;
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -58,9 +58,6 @@
     Milliseconds maxCallbackDelay {200};
     /// A leaving worker without runs is removed after this time.
     Milliseconds departureTimeout {1'000};
-    /// A connection attempt that fails within this time was refused; one without an answer fails
-    /// later.
-    Milliseconds maxRefusalDelay {100};
 };
 
 class RunSupervisor : public std::enable_shared_from_this<RunSupervisor>
--- a/src/services/workerlink.h
+++ b/src/services/workerlink.h
@@ -90,8 +90,9 @@
 };
 
 enum class HoldError {
-    Unanswered,
-    NotConnected, // no byte was sent: the connection was refused or timed out
+    Unanswered, // also if there was no connection in time
+    Refused, // the worker's host refused the connection: no process listens there
+    NotSent, // this VM had no resources for a connection; says nothing about the worker
     OtherIncarnation,
     Fenced,
 };
--- a/test/fakes/simulatedworkers.h
+++ b/test/fakes/simulatedworkers.h
@@ -150,7 +150,7 @@
             Process &process = processes_[id];
             HoldOutcome outcome;
             if (!process.alive || !acceptFence(process, order.fence)) {
-                outcome.error = process.alive ? HoldError::Fenced : HoldError::NotConnected;
+                outcome.error = process.alive ? HoldError::Fenced : HoldError::Refused;
                 answer<HoldOutcome>(process, isAnswerLost, reply, outcome);
                 return;
             }
--- a/test/workercalls.cpp
+++ b/test/workercalls.cpp
@@ -8,6 +8,8 @@
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
+#include <sys/resource.h>
+
 namespace crocusmill::platform
 {
 
@@ -166,4 +168,24 @@
         == R"({"fence":7,"ack_cursor":57,"deadline_ms":486000,"wait_ms":100})");
 }
 
+TEST_CASE("only a refused connection shows that no process listens")
+{
+    Fixture fixture;
+    SECTION("this VM has no free descriptor")
+    {
+        rlimit limit {};
+        REQUIRE(getrlimit(RLIMIT_NOFILE, &limit) == 0);
+        const rlimit none {0, limit.rlim_max};
+        REQUIRE(setrlimit(RLIMIT_NOFILE, &none) == 0);
+        const HoldOutcome outcome = fixture.hold();
+        REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+        CHECK(outcome.error == HoldError::NotSent);
+    }
+    SECTION("the worker's process is gone")
+    {
+        fixture.peer.stopAccepting();
+        CHECK(fixture.hold().error == HoldError::Refused);
+    }
+}
+
 } // namespace crocusmill::platform
--- a/test/workerevidence.cpp
+++ b/test/workerevidence.cpp
@@ -124,4 +124,31 @@
     CHECK(fixture.supervisor->hasRun(task));
 }
 
+TEST_CASE("a leaving worker is gone once its host refuses connections")
+{
+    Fixture fixture;
+    fixture.startRun();
+    fixture.link.answerStart(StartOutcome::Started);
+    fixture.supervisor->onWorkerLeaving(worker, {}, monotonicNow());
+    const HoldError error = GENERATE(HoldError::Refused, HoldError::NotSent, HoldError::Unanswered);
+    fixture.link.failHold(error);
+    fixture.tick(Milliseconds {200});
+    CHECK(
+        fixture.phase() == (error == HoldError::Refused ? TaskPhase::Waiting : TaskPhase::Placed));
+}
+
+TEST_CASE("holds that this VM could not send do not end the runs of their worker")
+{
+    Fixture fixture;
+    fixture.startRun();
+    fixture.link.answerStart(StartOutcome::Started);
+    const HoldError error = GENERATE(HoldError::NotSent, HoldError::Unanswered);
+    for (Milliseconds offset {0}; offset < Milliseconds {8'000}; offset += Milliseconds {400}) {
+        fixture.link.failHold(error);
+        fixture.tickUntil(offset);
+    }
+    CHECK(
+        fixture.phase() == (error == HoldError::NotSent ? TaskPhase::Placed : TaskPhase::Waiting));
+}
+
 } // namespace crocusmill
