Supervisor: one unanswered hold does not show that a worker is unreachable

A leader that heard a worker for the first time when the leases of earlier leaders were nearly over gave its runs up after one hold without an answer, while the next one was still open. An end that the worker had listed to an earlier leader was then not asked for, and the task ran again.

Cause: isUnreachable() was true from the first unanswered hold on. It now needs two in a row, both sent since this VM ticks without gaps, which is also when a worker gets no more leases.

Evidence: the new case of workerevidence failed before (the run had ended) and passes now.

--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -4,6 +4,7 @@
 #include "src/services/runsupervisor.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crocusmill
 {
@@ -67,7 +68,7 @@
     }
     worker.isGone = worker.isGone || (worker.leavesAt && error == HoldError::Refused);
     ++worker.unansweredHoldCount;
-    worker.unansweredHoldSentAt = sent;
+    worker.earlierUnansweredHoldSentAt = std::exchange(worker.unansweredHoldSentAt, sent);
     worker.nextHoldAt = now + holdRetryInterval;
     if (worker.unansweredHoldCount == 1) {
         logWarning(
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -161,6 +161,7 @@
         std::uint32_t unansweredHoldCount = 0; // in a row
         bool isAnswering = false; // the newest completed hold was answered in time
         MonotonicTime unansweredHoldSentAt {}; // send time of the newest unanswered hold
+        MonotonicTime earlierUnansweredHoldSentAt {}; // of the one before; valid from two in a row
         EndNumber lastRecordedEnd; // ends up to this number are in the journal
         bool isRecordingEnds = false; // ends after lastRecordedEnd wait for their record
         std::set<TaskRef> runs;
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -13,6 +13,8 @@
 
 /// A worker without runs and without a heartbeat for this long is removed.
 constexpr Milliseconds silentWorkerTimeout {60'000};
+/// Unanswered holds in a row that show that a worker is unreachable. One may be lost on its way.
+constexpr std::uint32_t minUnansweredHolds = 2;
 
 } // namespace
 
@@ -176,7 +178,8 @@
     if (!worker.hasIncarnation) {
         return now - tickingSince_ >= parts_.times.unresponsiveTimeout;
     }
-    return worker.unansweredHoldCount > 0 && worker.unansweredHoldSentAt >= tickingSince_;
+    return worker.unansweredHoldCount >= minUnansweredHolds
+        && worker.earlierUnansweredHoldSentAt >= tickingSince_;
 }
 
 bool RunSupervisor::isAvailable(const Worker &worker, MonotonicTime now) const
--- a/test/workerevidence.cpp
+++ b/test/workerevidence.cpp
@@ -151,4 +151,17 @@
         fixture.phase() == (error == HoldError::NotSent ? TaskPhase::Placed : TaskPhase::Waiting));
 }
 
+TEST_CASE("a single unanswered hold does not show that a worker is unreachable")
+{
+    Fixture fixture {true};
+    fixture.receiveHeartbeat();
+    fixture.link.failHold(HoldError::Unanswered);
+    fixture.tickUntil(Milliseconds {7'000}); // the next hold has no outcome yet
+    REQUIRE(fixture.link.holds.size() == 2);
+    CHECK(fixture.phase() == TaskPhase::Placed);
+    fixture.link.failHold(HoldError::Unanswered);
+    fixture.tickUntil(Milliseconds {14'000});
+    CHECK(fixture.phase() == TaskPhase::Waiting);
+}
+
 } // namespace crocusmill
