--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -4,6 +4,7 @@
 #include "src/services/runsupervisor.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crocusmill
 {
@@ -61,11 +62,13 @@
         worker.nextHoldAt = now; // this VM was stalled: the answer may have been in time
         return;
     }
-    worker.isGone = worker.isGone
-        || (worker.leavesAt && error == HoldError::NotConnected
-            && now - sent < parts_.times.maxRefusalDelay);
+    if (error == HoldError::NotSent) {
+        worker.nextHoldAt = now + holdRetryInterval;
+        return;
+    }
+    worker.isGone = worker.isGone || (worker.leavesAt && error == HoldError::Refused);
     ++worker.unansweredHoldCount;
-    worker.unansweredHoldSentAt = sent;
+    worker.earlierUnansweredHoldSentAt = std::exchange(worker.unansweredHoldSentAt, sent);
     worker.nextHoldAt = now + holdRetryInterval;
     if (worker.unansweredHoldCount == 1) {
         logWarning(
@@ -129,8 +132,9 @@
     for (const ListedEnd &end : report.ended) {
         last = std::max(last, end.number);
         listed.insert(end.task);
-        if (end.number <= worker.lastRecordedEnd) {
-            continue; // recorded, but not acknowledged yet
+        // Further ends are listed again, after the record of the earlier ones.
+        if (end.number <= worker.lastRecordedEnd || worker.isRecordingEnds) {
+            continue;
         }
         Run *run = findRun(end.task, end.run);
         if (run != nullptr && run->placement.worker == id) {
@@ -159,11 +163,15 @@
         }
     }
     recordInferredEnds(missing, EndReason::NotListed);
+    worker.isRecordingEnds = worker.isRecordingEnds || !ended.empty();
+    if (worker.isRecordingEnds) {
+        // The worker delays no answers until its ends are acknowledged, so the next hold waits for
+        // their record. A slow record must not let the lease expire.
+        worker.nextHoldAt = parts_.clock() + parts_.times.holdWaitTimeout;
+    }
     if (ended.empty()) {
         hold(id, worker, parts_.clock());
     } else {
-        // The next hold acknowledges these ends, so it waits until they are recorded.
-        worker.isHoldPending = true;
         unproposedEnds_.push_back({id, worker.heartbeat.incarnation, std::move(ended), last});
         parts_.onChange();
     }
@@ -196,10 +204,10 @@
         if (graph == nullptr || graph->state == GraphState::Open) {
             continue;
         }
+        const Milliseconds took = std::max(graph->endedAt - graph->acceptedAt, Milliseconds {0});
         logInfo("job.ended",
             {{"job", id.value()}, {"succeeded", graph->state == GraphState::Succeeded},
-                {"took_ms",
-                    static_cast<std::uint64_t>((graph->endedAt - graph->acceptedAt).count())}});
+                {"took_ms", static_cast<std::uint64_t>(took.count())}});
     }
 }
 
@@ -300,8 +308,9 @@
     if (it == workers_.end() || it->second.heartbeat.incarnation != list.incarnation) {
         return;
     }
-    it->second.isHoldPending = false;
+    it->second.isRecordingEnds = false;
     it->second.lastRecordedEnd = std::max(it->second.lastRecordedEnd, list.last);
+    it->second.nextHoldAt = parts_.clock();
     hold(list.worker, it->second, parts_.clock());
 }
 
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -58,9 +58,6 @@
     Milliseconds maxCallbackDelay {200};
     /// A leaving worker without runs is removed after this time.
     Milliseconds departureTimeout {1'000};
-    /// A connection attempt that fails within this time was refused; one without an answer fails
-    /// later.
-    Milliseconds maxRefusalDelay {100};
 };
 
 class RunSupervisor : public std::enable_shared_from_this<RunSupervisor>
@@ -159,12 +156,14 @@
         // Invariant: every lease that any leader gave this incarnation has expired by then.
         MonotonicTime leasesExpireAt {};
         MonotonicTime answeredHoldSentAt {}; // send time of the newest answered hold
-        bool isHoldPending = false; // a hold waits for its answer, or its ends for their record
+        bool isHoldPending = false; // a hold waits for its answer
         MonotonicTime nextHoldAt {};
         std::uint32_t unansweredHoldCount = 0; // in a row
         bool isAnswering = false; // the newest completed hold was answered in time
         MonotonicTime unansweredHoldSentAt {}; // send time of the newest unanswered hold
+        MonotonicTime earlierUnansweredHoldSentAt {}; // of the one before; valid from two in a row
         EndNumber lastRecordedEnd; // ends up to this number are in the journal
+        bool isRecordingEnds = false; // ends after lastRecordedEnd wait for their record
         std::set<TaskRef> runs;
         std::optional<MonotonicTime> leavesAt; // set while it leaves: when it may be removed
         bool isGone = false; // it leaves and refuses connections
@@ -184,6 +183,7 @@
     [[nodiscard]] bool canSendOrders() const;
     Worker &findOrAddWorker(const WorkerId &id);
     [[nodiscard]] static WorkerEndpoint endpointOf(const Worker &worker);
+    [[nodiscard]] std::optional<Incarnation> newestIncarnation(const Worker &worker) const;
     void replaceIncarnation(Worker &worker, const WorkerHeartbeat &heartbeat, MonotonicTime now);
     void onIncarnationGone(const WorkerId &id, const Incarnation &incarnation);
     void updateFleet(const Worker &worker, MonotonicTime now);
@@ -221,7 +221,7 @@
     void onStartAnswered(
         const TaskRef &task, RunNumber number, const WorkerId &id, StartOutcome outcome);
     void sendStop(const TaskRef &task, Run &run, MonotonicTime now);
-    void onStopAnswered(const TaskRef &task, RunNumber number, StopOutcome outcome);
+    void onStopAnswered(const RunPlacement &placement, StopOutcome outcome);
     void stopUnknownRun(const WorkerId &id, const Worker &worker, const ListedRun &listed);
 
     /// Why a run counts as ended although no list showed its end.
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -13,6 +13,8 @@
 
 /// A worker without runs and without a heartbeat for this long is removed.
 constexpr Milliseconds silentWorkerTimeout {60'000};
+/// Unanswered holds in a row that show that a worker is unreachable. One may be lost on its way.
+constexpr std::uint32_t minUnansweredHolds = 2;
 
 } // namespace
 
@@ -31,21 +33,36 @@
     return {worker.heartbeat.id, worker.heartbeat.incarnation, worker.heartbeat.address};
 }
 
-void RunSupervisor::onHeartbeat(const WorkerHeartbeat &heartbeat, MonotonicTime now)
+/// Returns the process of the worker that was heard; before that, the newest process on which a run
+/// was placed, if there is one.
+std::optional<Incarnation> RunSupervisor::newestIncarnation(const Worker &worker) const
 {
-    Worker &worker = findOrAddWorker(heartbeat.id);
     if (worker.hasIncarnation) {
-        const Incarnation &current = worker.heartbeat.incarnation;
-        const bool isStale = isNewer(current, heartbeat.incarnation)
-            || (current == heartbeat.incarnation
-                && heartbeat.sequence <= worker.heartbeat.sequence);
-        if (isStale) {
-            logInfo("worker.late_heartbeat",
-                {{"worker", heartbeat.id.value()}, {"incarnation", heartbeat.incarnation.value()},
-                    {"current", current.value()}, {"sequence", heartbeat.sequence}});
-            return;
+        return worker.heartbeat.incarnation;
+    }
+    std::optional<Incarnation> newest;
+    for (const TaskRef &task : worker.runs) {
+        const Incarnation &placed = runs_.at(task).placement.incarnation;
+        if (!newest || isNewer(placed, *newest)) {
+            newest = placed;
         }
     }
+    return newest;
+}
+
+void RunSupervisor::onHeartbeat(const WorkerHeartbeat &heartbeat, MonotonicTime now)
+{
+    Worker &worker = findOrAddWorker(heartbeat.id);
+    const std::optional<Incarnation> newest = newestIncarnation(worker);
+    const bool isRepeated = worker.hasIncarnation
+        && worker.heartbeat.incarnation == heartbeat.incarnation
+        && heartbeat.sequence <= worker.heartbeat.sequence;
+    if (isRepeated || (newest && isNewer(*newest, heartbeat.incarnation))) {
+        logInfo("worker.late_heartbeat",
+            {{"worker", heartbeat.id.value()}, {"incarnation", heartbeat.incarnation.value()},
+                {"current", newest->value()}, {"sequence", heartbeat.sequence}});
+        return;
+    }
     if (!worker.hasIncarnation || worker.heartbeat.incarnation != heartbeat.incarnation) {
         replaceIncarnation(worker, heartbeat, now);
     }
@@ -104,6 +121,7 @@
     worker.unansweredHoldCount = 0;
     worker.isAnswering = false;
     worker.lastRecordedEnd = {};
+    worker.isRecordingEnds = false;
     worker.isHoldPending = false;
     worker.nextHoldAt = now;
     worker.leavesAt.reset();
@@ -160,7 +178,8 @@
     if (!worker.hasIncarnation) {
         return now - tickingSince_ >= parts_.times.unresponsiveTimeout;
     }
-    return worker.unansweredHoldCount > 0 && worker.unansweredHoldSentAt >= tickingSince_;
+    return worker.unansweredHoldCount >= minUnansweredHolds
+        && worker.earlierUnansweredHoldSentAt >= tickingSince_;
 }
 
 bool RunSupervisor::isAvailable(const Worker &worker, MonotonicTime now) const
@@ -226,7 +245,8 @@
         recordInferredEnds(lost, worker.isGone ? EndReason::WorkerLeft : EndReason::LeasePassed);
     }
     const bool hasDeparted = worker.leavesAt && now >= *worker.leavesAt;
-    const bool shouldForget = worker.hasIncarnation && worker.runs.empty() && !worker.isHoldPending
+    const bool isIdle = worker.runs.empty() && !worker.isHoldPending && !worker.isRecordingEnds;
+    const bool shouldForget = worker.hasIncarnation && isIdle
         && (hasDeparted || now - worker.lastHeartbeatAt > silentWorkerTimeout);
     if (shouldForget) {
         parts_.link.forget(endpointOf(worker));
--- /dev/null
+++ b/test/workerevidence.cpp
@@ -0,0 +1,167 @@
+/// Tests which events the run supervisor takes as evidence about workers and their runs.
+
+#include "test/fakes/supervised.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+using fakes::stepOf;
+using fakes::supervised::firstIncarnation;
+using fakes::supervised::Fixture;
+using fakes::supervised::secondIncarnation;
+using fakes::supervised::task;
+using fakes::supervised::wall;
+using fakes::supervised::worker;
+
+void pause()
+{
+    std::this_thread::sleep_for(Milliseconds {3}); // the next hold gets a later send time
+}
+
+} // namespace
+
+TEST_CASE("a start is ordered only while this VM holds its lease as leader")
+{
+    Fixture fixture;
+    fixture.receiveHeartbeat();
+    fixture.link.answerHold({});
+    fixture.supervisor->reserve({task, RunNumber {1}, worker, firstIncarnation}, stepOf(1));
+    fixture.recordPlacement();
+    fixture.canSendOrders = false; // its lease has lapsed while the placement was recorded
+    fixture.supervisor->start(task, std::nullopt, monotonicNow());
+    CHECK(fixture.link.starts.empty());
+    fixture.canSendOrders = true;
+    fixture.tick(Milliseconds {100});
+    REQUIRE(fixture.link.starts.size() == 1);
+    CHECK(fixture.link.starts[0].order.run == RunNumber {1});
+}
+
+TEST_CASE("a worker keeps its lease while its ends wait for their record")
+{
+    Fixture fixture;
+    fixture.startRun();
+    fixture.link.answerStart(StartOutcome::Started);
+    fixture.isJournalSlow = true;
+    const HoldReport report = Fixture::endedReport(RunEnd::Succeeded, 5);
+    fixture.link.answerHold(report);
+    REQUIRE(fixture.heldProposals.size() == 1);
+    const std::size_t holds = fixture.link.holds.size();
+    for (std::size_t i = 1; i <= 3; ++i) { // one lease after another, without acknowledgement
+        CHECK(fixture.link.holds.size() == holds + i - 1);
+        fixture.tick(Milliseconds {1'100});
+        REQUIRE(fixture.link.holds.size() == holds + i);
+        CHECK(fixture.link.holds.back().order.deadline.has_value());
+        CHECK(fixture.link.holds.back().order.acknowledged == EndNumber {0});
+        fixture.link.answerHold(report);
+    }
+    CHECK(fixture.heldProposals.size() == 1);
+    fixture.heldProposals[0]();
+    CHECK(fixture.phase() == TaskPhase::Succeeded);
+    CHECK_FALSE(fixture.supervisor->hasRun(task));
+    CHECK(fixture.link.holds.back().order.acknowledged == EndNumber {5});
+}
+
+TEST_CASE("further ends are acknowledged only after their own record")
+{
+    Fixture fixture;
+    fixture.startRun();
+    fixture.link.answerStart(StartOutcome::Started);
+    fixture.isJournalSlow = true;
+    HoldReport report = Fixture::endedReport(RunEnd::Stopped, 5);
+    report.ended[0].task.graph = GraphId {"other"};
+    fixture.link.answerHold(report);
+    fixture.tick(Milliseconds {1'100});
+    report.ended.push_back({EndNumber {6}, task, RunNumber {1}, RunEnd::Succeeded, {}});
+    fixture.link.answerHold(report);
+    fixture.tick(Milliseconds {0});
+    REQUIRE(fixture.heldProposals.size() == 1);
+    fixture.heldProposals[0]();
+    CHECK(fixture.link.holds.back().order.acknowledged == EndNumber {5});
+    fixture.link.answerHold(report);
+    REQUIRE(fixture.heldProposals.size() == 2);
+    fixture.heldProposals[1]();
+    CHECK(fixture.link.holds.back().order.acknowledged == EndNumber {6});
+    CHECK(fixture.phase() == TaskPhase::Succeeded);
+}
+
+TEST_CASE("a late heartbeat of an earlier process does not replace the one that got the run")
+{
+    Fixture fixture {true};
+    fixture.receiveHeartbeat(Incarnation {"500"}, 9);
+    CHECK(fixture.link.holds.empty());
+    fixture.receiveHeartbeat(firstIncarnation);
+    REQUIRE(fixture.link.holds.size() == 1);
+    CHECK(fixture.link.holds[0].worker.incarnation == firstIncarnation);
+    fixture.link.answerHold(Fixture::runningReport());
+    CHECK(fixture.phase() == TaskPhase::Placed);
+}
+
+TEST_CASE("the answer of an earlier process to a stop proves nothing about the present one")
+{
+    Fixture fixture;
+    fixture.startRun();
+    fixture.link.answerStart(StartOutcome::Started);
+    fixture.state.apply(CancelGraph {task.graph, wall}, LogIndex {++fixture.index});
+    fixture.tick(Milliseconds {100});
+    REQUIRE(fixture.link.stops.size() == 1);
+    fixture.receiveHeartbeat(secondIncarnation); // the start may reach this process, too
+    fixture.link.stops[0].done(GENERATE(StopOutcome::Answered, StopOutcome::OtherIncarnation));
+    pause();
+    fixture.link.answerHold({});
+    pause();
+    fixture.link.answerHold({});
+    CHECK(fixture.phase() == TaskPhase::Placed);
+    fixture.tick(Milliseconds {200});
+    REQUIRE(fixture.link.stops.size() == 2);
+    CHECK(fixture.link.stops[1].worker.incarnation == secondIncarnation);
+    CHECK(fixture.supervisor->hasRun(task));
+}
+
+TEST_CASE("a leaving worker is gone once its host refuses connections")
+{
+    Fixture fixture;
+    fixture.startRun();
+    fixture.link.answerStart(StartOutcome::Started);
+    fixture.supervisor->onWorkerLeaving(worker, {}, monotonicNow());
+    const HoldError error = GENERATE(HoldError::Refused, HoldError::NotSent, HoldError::Unanswered);
+    fixture.link.failHold(error);
+    fixture.tick(Milliseconds {200});
+    CHECK(
+        fixture.phase() == (error == HoldError::Refused ? TaskPhase::Waiting : TaskPhase::Placed));
+}
+
+TEST_CASE("holds that this VM could not send do not end the runs of their worker")
+{
+    Fixture fixture;
+    fixture.startRun();
+    fixture.link.answerStart(StartOutcome::Started);
+    const HoldError error = GENERATE(HoldError::NotSent, HoldError::Unanswered);
+    for (Milliseconds offset {0}; offset < Milliseconds {8'000}; offset += Milliseconds {400}) {
+        fixture.link.failHold(error);
+        fixture.tickUntil(offset);
+    }
+    CHECK(
+        fixture.phase() == (error == HoldError::NotSent ? TaskPhase::Placed : TaskPhase::Waiting));
+}
+
+TEST_CASE("a single unanswered hold does not show that a worker is unreachable")
+{
+    Fixture fixture {true};
+    fixture.receiveHeartbeat();
+    fixture.link.failHold(HoldError::Unanswered);
+    fixture.tickUntil(Milliseconds {7'000}); // the next hold has no outcome yet
+    REQUIRE(fixture.link.holds.size() == 2);
+    CHECK(fixture.phase() == TaskPhase::Placed);
+    fixture.link.failHold(HoldError::Unanswered);
+    fixture.tickUntil(Milliseconds {14'000});
+    CHECK(fixture.phase() == TaskPhase::Waiting);
+}
+
+} // namespace crocusmill
