Known red: a job that was placed and never begun does not count as waiting

Callers of a queue read too small a `pending`, and `running` for a job of which no worker had begun a task. The registry sets the job to started when a placement is recorded, before it is ordered, and leaves it so when the run ends as not started or lost. A job of which all tasks are placed is not looked at at all, since only jobs with a waiting task are counted.

The test drives the registry, the run supervisor and simulated workers in virtual time. Cases: refused start, start without an answer until its lease has passed, placement of a leader that lost power before it ordered, revoked placement, all tasks placed; and the other way, a job that has begun and lost its run, its leader, its state.

--- a/test/fakes/runrules.h
+++ b/test/fakes/runrules.h
@@ -51,6 +51,8 @@
             }
         }
         starts_[task].push_back({run, now});
+        firstStarts_.try_emplace(task.graph, now);
+        startedBy_[task.graph].insert(process);
         checkOrder(task, run);
         const auto cancelled = cancelledAt_.find(task.graph);
         if (cancelled != cancelledAt_.end() && sent > cancelled->second + cancelTimeout) {
@@ -148,6 +150,23 @@
         return it != running_.end() && std::get<0>(it->first) == task;
     }
 
+    /// Returns when a worker first began a task of the job; nothing if none has.
+    [[nodiscard]] std::optional<MonotonicTime> firstStartOf(const GraphId &graph) const
+    {
+        const auto it = firstStarts_.find(graph);
+        return it == firstStarts_.end() ? std::nullopt : std::optional {it->second};
+    }
+
+    /// Returns whether all processes that began a task of the job are gone: a leader may never
+    /// learn of their runs.
+    [[nodiscard]] bool areStartersGone(const GraphId &graph) const
+    {
+        const auto it = startedBy_.find(graph);
+        return it != startedBy_.end()
+            && std::includes(
+                goneProcesses_.begin(), goneProcesses_.end(), it->second.begin(), it->second.end());
+    }
+
     void addViolation(
         const std::string &rule, const TaskRef &task, RunNumber run, const std::string &details)
     {
@@ -254,6 +273,8 @@
     std::map<GraphId, MonotonicTime> cancelledAt_;
     std::map<std::pair<TaskRef, RunNumber>, Process> running_;
     std::map<TaskRef, std::vector<Start>> starts_;
+    std::map<GraphId, MonotonicTime> firstStarts_;
+    std::map<GraphId, std::set<Process>> startedBy_;
     std::map<TaskRef, std::vector<End>> ends_;
     std::set<TaskRef> succeeded_;
     std::map<Process, std::vector<MonotonicTime>> leaseExpirations_;
--- a/test/fakes/simulatedleader.h
+++ b/test/fakes/simulatedleader.h
@@ -9,6 +9,7 @@
 
 #include <deque>
 #include <memory>
+#include <stdexcept>
 #include <utility>
 
 namespace crocusmill::fakes
@@ -72,6 +73,12 @@
         return log_;
     }
 
+    /// Returns the time until which every proposal so far is committed.
+    [[nodiscard]] MonotonicTime lastCommitAt() const
+    {
+        return lastCommitAt_;
+    }
+
 private:
     void commit()
     {
@@ -101,13 +108,17 @@
     {
     }
 
-    /// `knownWorkers`: heartbeats that the previous leader handed on.
-    void becomeLeader(const std::vector<WorkerHeartbeat> &knownWorkers)
+    /// `knownWorkers`: heartbeats that the previous leader handed on. `fromSnapshot`: the state was
+    /// restored from a snapshot.
+    void becomeLeader(const std::vector<WorkerHeartbeat> &knownWorkers, bool fromSnapshot = false)
     {
         journal_.beginTerm(term_);
         for (const Command &command : journal_.committed()) {
             state.apply(command, LogIndex {++index_});
         }
+        if (fromSnapshot && !state.restore(state.snapshot())) {
+            throw std::runtime_error {"the snapshot cannot be restored"};
+        }
         const std::weak_ptr<SimulatedLeader> weak = weak_from_this();
         supervisor = std::make_shared<RunSupervisor>(
             RunSupervisor::Parts {state, *this,
--- a/test/fakes/simulatedworkers.h
+++ b/test/fakes/simulatedworkers.h
@@ -93,6 +93,12 @@
         processes_.at(id).slowUntil = simulation_.now() + span;
     }
 
+    /// Refuses all starts for this time, as an unhealthy worker does.
+    void refuseStarts(const WorkerId &id, Milliseconds span)
+    {
+        processes_.at(id).refusesUntil = simulation_.now() + span;
+    }
+
     [[nodiscard]] std::vector<WorkerId> aliveWorkers() const
     {
         std::vector<WorkerId> ids;
@@ -209,6 +215,7 @@
         std::vector<std::function<void()>> pendingHolds; // answered at the next end
         MonotonicTime disconnectedUntil {};
         MonotonicTime slowUntil {};
+        MonotonicTime refusesUntil {};
     };
 
     using GangRun = std::pair<TaskRef, RunNumber>; // of member 0
@@ -366,7 +373,7 @@
             return running->second.number == order.run ? StartOutcome::Started
                                                        : StartOutcome::Refused;
         }
-        if (simulation_.chance(8)) {
+        if (simulation_.chance(8) || simulation_.now() < process.refusesUntil) {
             return StartOutcome::Refused; // as an unhealthy worker does
         }
         extendLease(id, process, order.deadline);
