Count a job as waiting until a worker has begun one of its tasks

Cause: `Graph::started` was set when a placement was recorded. That is an intention. The order may be refused, revoked, unanswered or never sent, and a leader that has just taken over may place hundreds of tasks before one begins. Nothing set it back. Jobs with all tasks placed were not counted either.

`started` is now a recorded fact. The supervisor notes a job when a worker has answered that it started a run, or lists a run, and the leader records the first start of each job with the new command `note_starts`, those of 100 ms together. Ends that workers list imply a start; runs that are lost or not started do not. A record with an unknown outcome is proposed again, since it may be applied twice, and a new leader finds a lost one in the lists of the workers. A start is not taken back. The registry keeps the open jobs without a start by queue, so that an answer reads a size in place of walking all waiting jobs every 200 ms.

Taken out one at a time, both new remedies make `pendingjobs` fail.

--- a/include/crocusmill/commands.h
+++ b/include/crocusmill/commands.h
@@ -232,7 +232,7 @@
 using Command = std::variant<TryEnvironment, PromoteEnvironment, AdmitWork, StartWork, EndAttempt,
     FinishWork, RevokeWork, AdoptWork, ForgetEnded, SubmitJob, PlaceTasks, EndTask, CancelJob,
     QuarantineWorker, DrainUpstream, DrainWorker, InstallCatalog, SubmitGraph, PlaceRuns, EndRuns,
-    CancelGraph, NoteLeaving>;
+    CancelGraph, NoteLeaving, NoteStarts>;
 
 enum class StateError {
     None = 0,
--- a/include/crocusmill/graphregistry.h
+++ b/include/crocusmill/graphregistry.h
@@ -47,7 +47,7 @@
     WallTime acceptedAt;
     WallTime endedAt; // valid once the state is not Open
     GraphState state = GraphState::Open;
-    bool started = false; // a task was placed at least once
+    bool started = false; // a worker is known to have begun a task; never taken back
     std::vector<GraphOccurrence> occurrences;
 
     [[nodiscard]] const GraphTask *find(const TaskRef &ref) const;
@@ -71,6 +71,8 @@
     /// Returns false if the id exists already.
     bool submit(const SubmitGraph &command);
     void place(const PlaceRuns &command);
+    /// Not a change in the sense of changedSince(), as placement does not depend on it.
+    void noteStarts(const NoteStarts &command);
     void end(const EndRuns &command);
     /// Returns false if there is no such graph.
     bool cancel(const CancelGraph &command);
@@ -82,6 +84,8 @@
     [[nodiscard]] const std::set<GraphId> &openGraphs() const;
     /// Returns the open graphs with a task that waits for placement.
     [[nodiscard]] const std::set<GraphId> &waitingGraphs() const;
+    /// Returns the open graphs that have not started, by queue. Queues without any are left out.
+    [[nodiscard]] const std::map<QueueName, std::set<GraphId>> &unstartedGraphs() const;
     /// Returns the revision of the newest change.
     [[nodiscard]] GraphRevision revision() const;
     /// Returns the graphs that changed after `revision`, each once, in the order of their newest
@@ -99,6 +103,8 @@
     static void endRun(Graph &graph, const EndedRun &ended);
     static void recordSuccess(Graph &graph, const EndedRun &ended);
     static void recordFailure(Graph &graph, const EndedRun &ended);
+    void markStarted(Graph &graph);
+    void removeUnstarted(const Graph &graph);
     void closeIfDecided(Graph &graph, WallTime at);
     void close(Graph &graph, GraphState state, WallTime at);
     void updateIndices(const Graph &graph);
@@ -109,6 +115,8 @@
     std::set<GraphId> openGraphs_;
     // Invariant: contains the ids of the open graphs with a waiting task.
     std::set<GraphId> waitingGraphs_;
+    // Invariant: contains the ids of the open graphs that have not started, and no empty set.
+    std::map<QueueName, std::set<GraphId>> unstartedGraphs_;
     // Invariant: contains every other graph once, in the order of ending.
     std::deque<GraphId> endedGraphs_;
     GraphRevision revision_;
--- a/include/crocusmill/statemachine.h
+++ b/include/crocusmill/statemachine.h
@@ -184,6 +184,7 @@
     ApplyReply applyCommand(const EndRuns &command);
     ApplyReply applyCommand(const CancelGraph &command);
     ApplyReply applyCommand(const NoteLeaving &command);
+    ApplyReply applyCommand(const NoteStarts &command);
 
     [[nodiscard]] bool isHostTaken(const Document &document) const;
     [[nodiscard]] Work *mutableWork(const WorkId &id);
--- a/include/crocusmill/taskgraph.h
+++ b/include/crocusmill/taskgraph.h
@@ -133,6 +133,13 @@
     WallTime at;
 };
 
+/// Records that a worker has begun a task of each of these jobs.
+struct NoteStarts
+{
+    static constexpr const char *kind = "note_starts";
+    std::vector<GraphId> graphs;
+};
+
 /// Records that a worker announced its departure. It gets no new tasks, also under a new leader.
 struct NoteLeaving
 {
--- a/src/services/graphcallhandler.cpp
+++ b/src/services/graphcallhandler.cpp
@@ -11,9 +11,6 @@
 namespace
 {
 
-/// Pending job counts are cached for this long.
-constexpr Milliseconds pendingCountsLifetime {200};
-
 GraphReply replyWith(GraphOutcome outcome)
 {
     GraphReply reply;
@@ -150,21 +147,12 @@
         });
 }
 
-/// Counts the pending jobs of all queues in one pass, as clients poll every queue.
-std::uint64_t GraphCallHandler::pendingJobCount(const QueueName &queue)
+std::uint64_t GraphCallHandler::pendingJobCount(const QueueName &queue) const
 {
-    const MonotonicTime now = monotonicNow();
-    const Term term = journal_.consensus()->term();
-    if (!pendingCounts_ || pendingCounts_->term != term
-        || now - pendingCounts_->countedAt >= pendingCountsLifetime) {
-        pendingCounts_ = PendingCounts {term, now, {}};
-        for (const GraphId &id : journal_.state().graphs().waitingGraphs()) {
-            const Graph &graph = *journal_.state().graphs().find(id);
-            pendingCounts_->jobs[graph.spec.queue] += graph.started ? 0 : 1;
-        }
-    }
-    const auto found = pendingCounts_->jobs.find(queue);
-    return found == pendingCounts_->jobs.end() ? 0 : found->second;
+    const std::map<QueueName, std::set<GraphId>> &unstarted =
+        journal_.state().graphs().unstartedGraphs();
+    const auto found = unstarted.find(queue);
+    return found == unstarted.end() ? 0 : found->second.size();
 }
 
 void GraphCallHandler::handle(const CatalogCall &call, const ReplyHandler &done)
--- a/src/services/graphcallhandler.h
+++ b/src/services/graphcallhandler.h
@@ -5,8 +5,6 @@
 #include "src/services/interfaces.h"
 
 #include <functional>
-#include <map>
-#include <optional>
 
 namespace crocusmill
 {
@@ -25,19 +23,10 @@
         const GraphCall &call, const Queue &queue, const GraphId &id, const ReplyHandler &done);
     void show(const Queue &queue, const GraphId &id, const ReplyHandler &done);
     void cancel(const Queue &queue, const GraphId &id, const ReplyHandler &done);
-    [[nodiscard]] std::uint64_t pendingJobCount(const QueueName &queue);
+    [[nodiscard]] std::uint64_t pendingJobCount(const QueueName &queue) const;
     [[nodiscard]] const Graph *find(const Queue &queue, const GraphId &id) const;
 
-    /// Number of jobs that have not started, for each queue.
-    struct PendingCounts
-    {
-        Term term; // counts of an earlier term may be far out of date
-        MonotonicTime countedAt;
-        std::map<QueueName, std::uint64_t> jobs;
-    };
-
     Journal &journal_;
-    std::optional<PendingCounts> pendingCounts_;
     std::function<void()> onChange_;
 };
 
--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -172,6 +172,9 @@
 void RunSupervisor::applyListedRun(const WorkerId &id, Worker &worker, const ListedRun &listed)
 {
     Run *run = findRun(listed.task, listed.run);
+    if (run == nullptr || run->stage != Stage::Running) {
+        noteStart(listed.task.graph);
+    }
     if (run == nullptr || run->placement.worker != id) {
         stopUnknownRun(id, worker, listed);
         return;
--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -57,8 +57,14 @@
 void RunSupervisor::onStartAnswered(
     const TaskRef &task, RunNumber number, const WorkerId &id, StartOutcome outcome)
 {
+    if (isRetired_) {
+        return;
+    }
+    if (outcome == StartOutcome::Started) {
+        noteStart(task.graph); // also if the run has been given up meanwhile
+    }
     Run *run = findRun(task, number);
-    if (isRetired_ || run == nullptr) {
+    if (run == nullptr) {
         return;
     }
     const MonotonicTime now = parts_.clock();
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -195,6 +195,7 @@
         sweep(now);
     }
     proposeListedEnds();
+    proposeStarts(now);
     if (!unconfirmedEnds_.empty() && !isRetired_) {
         proposeInferredEnds(std::exchange(unconfirmedEnds_, {}));
     }
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -37,6 +37,8 @@
     /// An order without an answer after this time is sent again.
     Milliseconds orderTimeout {400};
     Milliseconds orderRetryInterval {60};
+    /// First starts of jobs that are reported within this time share a record.
+    Milliseconds startRecordInterval {100};
     /// A worker that has not answered for this long gets no new tasks.
     Milliseconds unresponsiveTimeout {2'600};
     /// Added to the end of a lease before the runs that it covered count as ended.
@@ -222,6 +224,8 @@
         const TaskRef &task, RunNumber number, const WorkerId &id, StartOutcome outcome);
     void sendStop(const TaskRef &task, Run &run, MonotonicTime now);
     void onStopAnswered(const TaskRef &task, RunNumber number, StopOutcome outcome);
+    void noteStart(const GraphId &graph);
+    void proposeStarts(MonotonicTime now);
     void stopUnknownRun(const WorkerId &id, const Worker &worker, const ListedRun &listed);
 
     /// Why a run counts as ended although no list showed its end.
@@ -259,6 +263,11 @@
     std::set<TaskRef> pendingOrders_;
     MonotonicTime nextSweepAt_ {};
     std::vector<EndList> unproposedEnds_; // listed by workers
+    // Jobs that workers have begun and that are not recorded as started. Invariant: no job is in
+    // both sets.
+    std::set<GraphId> unproposedStarts_;
+    std::set<GraphId> proposedStarts_;
+    MonotonicTime nextStartRecordAt_ {};
     std::vector<EndedRun> unconfirmedEnds_; // inferred; it is unknown whether they were recorded
 };
 
--- a/src/state/graphregistry.cpp
+++ b/src/state/graphregistry.cpp
@@ -39,6 +39,12 @@
     return false;
 }
 
+/// Returns whether the end proves that a worker had begun the run.
+bool provesStart(RunEnd end)
+{
+    return end == RunEnd::Succeeded || end == RunEnd::Failed || end == RunEnd::Stopped;
+}
+
 } // namespace
 
 std::string asText(const TaskRef &task)
@@ -110,6 +116,7 @@
     graphs_.emplace(command.spec.id, CopyOnWrite<Graph> {std::move(graph)});
     openGraphs_.insert(command.spec.id);
     waitingGraphs_.insert(command.spec.id);
+    unstartedGraphs_[command.spec.queue].insert(command.spec.id);
     recordChange(command.spec.id);
     return true;
 }
@@ -165,7 +172,6 @@
         task.run = placement->run;
         task.worker = placement->worker;
         task.incarnation = placement->incarnation;
-        graph.started = true;
     }
     std::set<GraphId> changedGraphs;
     for (const RunPlacement *placement : accepted) {
@@ -176,6 +182,35 @@
     }
 }
 
+void GraphRegistry::noteStarts(const NoteStarts &command)
+{
+    for (const GraphId &id : command.graphs) {
+        const auto it = graphs_.find(id);
+        if (it != graphs_.end() && !it->second->started) {
+            markStarted(it->second.edit());
+        }
+    }
+}
+
+/// A placement alone is no start: its order may be refused, revoked or never sent.
+void GraphRegistry::markStarted(Graph &graph)
+{
+    graph.started = true;
+    removeUnstarted(graph);
+}
+
+void GraphRegistry::removeUnstarted(const Graph &graph)
+{
+    const auto queue = unstartedGraphs_.find(graph.spec.queue);
+    if (queue == unstartedGraphs_.end()) {
+        return;
+    }
+    queue->second.erase(graph.spec.id);
+    if (queue->second.empty()) {
+        unstartedGraphs_.erase(queue);
+    }
+}
+
 void GraphRegistry::recordFailure(Graph &graph, const EndedRun &ended)
 {
     const StepSpec &spec = graph.spec.steps[ended.task.step];
@@ -257,6 +292,7 @@
     graph.endedAt = at;
     openGraphs_.erase(graph.spec.id);
     waitingGraphs_.erase(graph.spec.id);
+    removeUnstarted(graph);
     endedGraphs_.push_back(graph.spec.id);
     for (GraphOccurrence &occurrence : graph.occurrences) {
         for (GraphStep &step : occurrence.steps) {
@@ -294,6 +330,9 @@
         const auto it = graphs_.find(ended.task.graph);
         if (it != graphs_.end()) {
             Graph &graph = it->second.edit();
+            if (!graph.started && provesStart(ended.end) && graph.find(ended.task) != nullptr) {
+                markStarted(graph);
+            }
             endRun(graph, ended);
             closeIfDecided(graph, command.at);
             updateIndices(graph);
@@ -345,6 +384,11 @@
     return waitingGraphs_;
 }
 
+const std::map<QueueName, std::set<GraphId>> &GraphRegistry::unstartedGraphs() const
+{
+    return unstartedGraphs_;
+}
+
 GraphRevision GraphRegistry::revision() const
 {
     return revision_;
@@ -385,6 +429,7 @@
     graphs_.clear();
     openGraphs_.clear();
     waitingGraphs_.clear();
+    unstartedGraphs_.clear();
     endedGraphs_.clear();
     graphByRevision_.clear();
     revisionByGraph_.clear();
@@ -392,6 +437,9 @@
         const GraphId id = graph.spec.id;
         if (graph.state == GraphState::Open) {
             openGraphs_.insert(id);
+            if (!graph.started) {
+                unstartedGraphs_[graph.spec.queue].insert(id);
+            }
             updateIndices(graph);
         } else {
             endedGraphs_.push_back(id);
--- a/src/state/graphs.cpp
+++ b/src/state/graphs.cpp
@@ -38,6 +38,12 @@
     return {};
 }
 
+ApplyReply StateMachine::applyCommand(const NoteStarts &command)
+{
+    graphs_.noteStarts(command);
+    return {};
+}
+
 ApplyReply StateMachine::applyCommand(const EndRuns &command)
 {
     graphs_.end(command);
--- a/test/binary.cpp
+++ b/test/binary.cpp
@@ -87,7 +87,8 @@
     return {admit, SubmitGraph {sampleSpec(), WallTime {Milliseconds {1'771'522'272'375}}},
         PlaceRuns {{{task, RunNumber {1}, WorkerId {"w"}, incarnation}}}, PlaceRuns {},
         EndRuns {{{task, RunNumber {2}, RunEnd::Lost, Checkpoint {allByteValues()}}}, WallTime {}},
-        NoteLeaving {WorkerId {"w"}, incarnation, WallTime {}}, CancelGraph {}, ForgetEnded {}};
+        NoteLeaving {WorkerId {"w"}, incarnation, WallTime {}}, CancelGraph {}, ForgetEnded {},
+        NoteStarts {{GraphId {"g"}, GraphId {allByteValues()}}}};
 }
 
 std::vector<Call> sampleCalls()
--- a/test/fakes/stepwiseleader.h
+++ b/test/fakes/stepwiseleader.h
@@ -18,6 +18,7 @@
 class StepwiseLeader
 {
 public:
+    static constexpr Milliseconds tickInterval {25};
     inline static const QueueName queue {"quotes"};
     inline static const GraphId job {"g"};
     inline static const WorkerId worker {"w"};
@@ -98,7 +99,6 @@
 
     void runFor(Milliseconds span)
     {
-        constexpr Milliseconds tickInterval {25};
         for (const MonotonicTime end = now_ + span; now_ < end; now_ += tickInterval) {
             supervisor_->tick(now_, WallTime {});
         }
--- a/test/remedies/check.py
+++ b/test/remedies/check.py
@@ -88,6 +88,13 @@
      "            endingTasks_.erase({command.job, command.task});\n", "cell"),
     ("an unchanged announcement is passed on in time", "src/services/announcementcache.cpp",
      "if (now - cached.forwardedAt >= forwardInterval_\n        || ", "if (", "quietupstreams"),
+    ("a placement is no start", "src/state/graphregistry.cpp",
+     "        task.incarnation = placement->incarnation;\n",
+     "        task.incarnation = placement->incarnation;\n        markStarted(graph);\n",
+     "pendingjobs"),
+    ("an undecided record of starts is proposed again", "src/services/runstarts.cpp",
+     "                    self->noteStart(id);\n", "                    continue;\n",
+     "pendingjobs"),
     ("a proposal at a reused place is not forgotten", "src/services/proposals.cpp",
      "        replacedHandler(ConsensusError::NotLeader);\n", "", "proposals"),
 ]
