Log: what clients are told of waiting jobs, beside what has begun

Once a second the leader counts its open jobs by the evidence that a task has begun: an answered start, a listed run, a listed end, or a recorded success, failure or checkpoint. A recorded placement is no evidence, as it is recorded before the order is sent. `jobs.counted` puts the counts beside the newest answer of each queue in that second, with the oldest job that has not begun, the term and the applied index; it is written only if a client asked, and names at most eight queues. The same counts are gauges. `dispatch.load` tells runs apart by their state and whether orders may be sent. No decision reads any of it.

--- a/src/services/dispatchcallhandler.cpp
+++ b/src/services/dispatchcallhandler.cpp
@@ -36,6 +36,11 @@
         }
     })
 {
+    graphs_.onPendingJobsTold([this](const QueueName &queue, std::uint64_t pendingJobs) {
+        if (dispatcher_) {
+            dispatcher_->onPendingJobsTold(queue, pendingJobs);
+        }
+    });
 }
 
 void DispatchCallHandler::startLeading(Term term, const RunSupervisor::Propose &propose)
--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -14,7 +14,6 @@
 {
 
 constexpr Milliseconds ticketCleanupInterval {2'000};
-constexpr Milliseconds loadReportInterval {1'000}; // between "dispatch.load" records
 /// Events within this time share one round and one journal record. At 700 starts per second, a
 /// round for each event would need more processor time than there is.
 constexpr Milliseconds minRoundPause {4};
@@ -48,6 +47,7 @@
     : parts_(parts)
     , ticketClient_(parts.peers, parts.tickets, parts.self)
     , roundTimer_(parts.control)
+    , jobReport_(parts.metrics)
 {
 }
 
@@ -67,6 +67,11 @@
     ticketClient_.onVmPresence(vm, now);
 }
 
+void Dispatcher::onPendingJobsTold(const QueueName &queue, std::uint64_t pendingJobs)
+{
+    jobReport_.recordAnswer(queue, pendingJobs);
+}
+
 const RunSupervisor &Dispatcher::supervisor() const
 {
     return *supervisor_;
@@ -75,6 +80,7 @@
 void Dispatcher::retire()
 {
     supervisor_->retire();
+    jobReport_.clearGauges();
 }
 
 void Dispatcher::scheduleRound()
@@ -109,41 +115,11 @@
     if (now >= nextTicketCleanup_) {
         nextTicketCleanup_ = now + ticketCleanupInterval;
         forgetClosedGraphs();
+        supervisor_->forgetClosedJobs();
     }
     reportRound(startedAt, queue_.size());
 }
 
-/// Logs the cost of the rounds and the load once per loadReportInterval.
-void Dispatcher::reportRound(MonotonicTime startedAt, std::size_t readyStepCount)
-{
-    const MonotonicTime now = monotonicNow();
-    const Microseconds duration = std::chrono::duration_cast<Microseconds>(now - startedAt);
-    parts_.metrics.observe({"dispatch_round_seconds", ""}, duration);
-    lastRoundDuration_ = duration;
-    ++stats_.rounds;
-    stats_.total += duration;
-    stats_.longest = std::max(stats_.longest, duration);
-    stats_.maxReadySteps = std::max(stats_.maxReadySteps, readyStepCount);
-    if (now < nextLoadReport_) {
-        return;
-    }
-    nextLoadReport_ = now + loadReportInterval;
-    const RoundStats stats = std::exchange(stats_, {});
-    const RunSupervisor::Load load = supervisor_->load(now);
-    const GraphRegistry &graphs = parts_.journal.state().graphs();
-    logInfo("dispatch.load",
-        {{"rounds", stats.rounds}, {"rounds_us", static_cast<std::uint64_t>(stats.total.count())},
-            {"longest_us", static_cast<std::uint64_t>(stats.longest.count())},
-            {"ready_steps", std::uint64_t {stats.maxReadySteps}},
-            {"open_jobs", std::uint64_t {graphs.openGraphs().size()}},
-            {"waiting_jobs", std::uint64_t {graphs.waitingGraphs().size()}},
-            {"runs", std::uint64_t {load.runs}}, {"starting", std::uint64_t {load.pendingOrders}},
-            {"workers", std::uint64_t {load.workers}},
-            {"workers_open", std::uint64_t {load.openWorkers}},
-            {"ends_unrecorded", std::uint64_t {load.unrecordedEndLists}},
-            {"term", parts_.term.value()}});
-}
-
 /// Updates the step queue with jobs that changed, became due or were marked for a refresh.
 void Dispatcher::updateQueue(WallTime wall)
 {
@@ -342,23 +318,6 @@
     }
 }
 
-/// Logs one record for the step, however many tasks it has.
-void Dispatcher::logPlaced(
-    const StepDemand &demand, const Graph &graph, const std::vector<FleetChoice> &chosen) const
-{
-    constexpr std::uint64_t milliPerCore = 1000;
-    const Fleet &fleet = supervisor_->fleet();
-    const Milliseconds waited = wallTimeNow() - graph.dueAt(demand.step.occurrence);
-    logInfo("step.placed",
-        {{"job", demand.step.graph.value()}, {"step", std::uint64_t {demand.step.step}},
-            {"tasks", std::uint64_t {chosen.size()}}, {"of", std::uint64_t {demand.waiting.size()}},
-            {"first_worker", chosen.front().worker.value()},
-            {"since_due_ms", static_cast<std::uint64_t>(waited.count())},
-            {"cores_open", fleet.openMilliCores(demand.service) / milliPerCore},
-            {"cores_used", fleet.usedMilliCores(demand.service) / milliPerCore},
-            {"term", parts_.term.value()}});
-}
-
 void Dispatcher::proposePlacements()
 {
     if (pendingPlacements_.empty()) {
--- a/src/services/dispatcher.h
+++ b/src/services/dispatcher.h
@@ -8,6 +8,7 @@
 
 #include "src/net/asio.h"
 #include "src/net/metrics.h"
+#include "src/services/jobcensus.h"
 #include "src/services/runsupervisor.h"
 #include "src/services/ticketclient.h"
 
@@ -49,6 +50,8 @@
     void onWorkerLeft(const WorkerId &worker, const Incarnation &incarnation, MonotonicTime now);
     /// Notes that the VM is alive and may send ticket requests.
     void onVmPresence(const NodeAddress &vm, MonotonicTime now);
+    /// Notes a count of pending jobs that a client was told, for the log.
+    void onPendingJobsTold(const QueueName &queue, std::uint64_t pendingJobs);
     /// Runs one scheduling round.
     void tick(MonotonicTime now, WallTime wall);
     /// Schedules a round, unless one is scheduled already.
@@ -97,6 +100,7 @@
     void onPlacementsProposed(const std::vector<RunPlacement> &placements, bool isOutcomeKnown);
     void forgetClosedGraphs();
     void reportRound(MonotonicTime startedAt, std::size_t readyStepCount);
+    void logLoad(MonotonicTime now);
 
     /// Statistics of the rounds since the last "dispatch.load" log record.
     struct RoundStats
@@ -128,6 +132,7 @@
     MonotonicTime nextTicketCleanup_ {};
     Microseconds lastRoundDuration_ {0};
     RoundStats stats_;
+    JobReport jobReport_;
     MonotonicTime nextLoadReport_ {};
 };
 
--- a/src/services/graphcallhandler.cpp
+++ b/src/services/graphcallhandler.cpp
@@ -44,6 +44,12 @@
 {
 }
 
+void GraphCallHandler::onPendingJobsTold(
+    std::function<void(const QueueName &, std::uint64_t)> observer)
+{
+    onPendingJobsTold_ = std::move(observer);
+}
+
 void GraphCallHandler::handle(const GraphCall &call, const ReplyHandler &done)
 {
     const Catalog &catalog = journal_.state().catalog();
@@ -113,6 +119,9 @@
     GraphReply reply;
     if (id.value().empty()) {
         reply.pending = pendingJobCount(queue.name);
+        if (onPendingJobsTold_) {
+            onPendingJobsTold_(queue.name, *reply.pending);
+        }
         done(Reply {reply});
         return;
     }
--- a/src/services/graphcallhandler.h
+++ b/src/services/graphcallhandler.h
@@ -17,6 +17,9 @@
     /// `onChange` is called when jobs have changed and a scheduling round is due.
     GraphCallHandler(Journal &journal, std::function<void()> onChange);
 
+    /// Sets the observer of the counts of pending jobs that clients are told.
+    void onPendingJobsTold(std::function<void(const QueueName &, std::uint64_t)> observer);
+
     void handle(const GraphCall &call, const ReplyHandler &done);
     void handle(const CatalogCall &call, const ReplyHandler &done);
 
@@ -39,6 +42,7 @@
     Journal &journal_;
     std::optional<PendingCounts> pendingCounts_;
     std::function<void()> onChange_;
+    std::function<void(const QueueName &, std::uint64_t)> onPendingJobsTold_; // may be empty
 };
 
 } // namespace crocusmill
--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -137,6 +137,7 @@
             run->isEnding = true;
             updateHealth(id, end);
         }
+        begunJobs_.insert(end.task.graph);
         logLateSuccess(id, end);
         ended.push_back({end.task, end.run, end.end, end.saved});
     }
@@ -171,6 +172,7 @@
 
 void RunSupervisor::applyListedRun(const WorkerId &id, Worker &worker, const ListedRun &listed)
 {
+    begunJobs_.insert(listed.task.graph);
     Run *run = findRun(listed.task, listed.run);
     if (run == nullptr || run->placement.worker != id) {
         stopUnknownRun(id, worker, listed);
--- a/src/services/runlogs.cpp
+++ b/src/services/runlogs.cpp
@@ -111,10 +111,27 @@
     load.pendingOrders = pendingOrders_.size();
     load.workers = workers_.size();
     load.unrecordedEndLists = unproposedEnds_.size();
+    load.canSendOrders = canSendOrders();
+    for (const std::pair<const TaskRef, Run> &entry : runs_) {
+        load.reservedRuns += entry.second.stage == Stage::Reserved ? 1 : 0;
+        load.adoptedRuns += entry.second.stage == Stage::Adopted ? 1 : 0;
+        load.runningRuns += entry.second.stage == Stage::Running ? 1 : 0;
+    }
     for (const std::pair<const WorkerId, Worker> &entry : workers_) {
         load.openWorkers += isOpen(entry.second, now) ? 1 : 0;
     }
     return load;
 }
 
+const std::set<GraphId> &RunSupervisor::begunJobs() const
+{
+    return begunJobs_;
+}
+
+void RunSupervisor::forgetClosedJobs()
+{
+    const std::set<GraphId> &openJobs = parts_.state.graphs().openGraphs();
+    std::erase_if(begunJobs_, [&openJobs](const GraphId &job) { return !openJobs.contains(job); });
+}
+
 } // namespace crocusmill
--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -57,6 +57,9 @@
 void RunSupervisor::onStartAnswered(
     const TaskRef &task, RunNumber number, const WorkerId &id, StartOutcome outcome)
 {
+    if (outcome == StartOutcome::Started) {
+        begunJobs_.insert(task.graph);
+    }
     Run *run = findRun(task, number);
     if (isRetired_ || run == nullptr) {
         return;
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -108,12 +108,21 @@
     struct Load
     {
         std::size_t runs = 0;
+        std::size_t reservedRuns = 0;
+        std::size_t adoptedRuns = 0;
+        std::size_t runningRuns = 0;
         std::size_t pendingOrders = 0; // runs that wait for the outcome of a start or stop
         std::size_t workers = 0;
         std::size_t openWorkers = 0;
         std::size_t unrecordedEndLists = 0; // lists whose ends are not proposed yet
+        bool canSendOrders = false;
     };
     [[nodiscard]] Load load(MonotonicTime now) const;
+    /// Returns the jobs of which a worker has reported the start or the end of a run to this
+    /// supervisor.
+    [[nodiscard]] const std::set<GraphId> &begunJobs() const;
+    /// Removes the jobs that are not open any more from begunJobs().
+    void forgetClosedJobs();
 
     [[nodiscard]] const Fleet &fleet() const;
     /// Returns the room that the fleet has gained since the last call.
@@ -257,6 +266,7 @@
     std::map<TaskRef, Run> runs_;
     // Invariant: contains every run that needs an order; may contain runs that no longer do.
     std::set<TaskRef> pendingOrders_;
+    std::set<GraphId> begunJobs_; // for the log only; may contain jobs that are not open any more
     MonotonicTime nextSweepAt_ {};
     std::vector<EndList> unproposedEnds_; // listed by workers
     std::vector<EndedRun> unconfirmedEnds_; // inferred; it is unknown whether they were recorded
