Log: each step of a recovery, with its time since the term and the start

Each step from the first worker heard to the first end recorded gets one `recovery.step` record per term. While steps are missing, one `recovery.waiting` record a second names them, for 30 s at most: an idle cell never places a job. No decision reads any of it.

Tests: test_recoverysteps (new, 4 cases), test_jobcensus, test_dispatcher, test_runsupervisor, test_leaderservice and test_presence pass.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -3,6 +3,7 @@
 #include "src/daemon/daemon.h"
 
 #include "platform/platform.h"
+#include "src/net/clock.h"
 #include "src/net/log.h"
 #include "src/services/clientservice.h"
 #include "src/services/entryservice.h"
@@ -163,7 +164,7 @@
         awaitSignal();
         awaitReload();
         loopWatch_.start();
-        logInfo("daemon.started");
+        logInfo("daemon.started", {{"process_ms", elapsedMs(processStartedAt, monotonicNow())}});
     });
     loop_.run([this]() {
         loopWatch_.stop();
--- a/src/net/clock.h
+++ b/src/net/clock.h
@@ -5,6 +5,7 @@
 #include <crocusmill/ids.h>
 
 #include <chrono>
+#include <cstdint>
 
 namespace crocusmill
 {
@@ -15,6 +16,17 @@
     return std::chrono::steady_clock::now();
 }
 
+/// When this process started, for durations in log records.
+inline const MonotonicTime processStartedAt = monotonicNow();
+
+/// Returns the time between the two in milliseconds, zero if `to` is earlier. For log records.
+[[nodiscard]] inline std::uint64_t elapsedMs(MonotonicTime from, MonotonicTime to)
+{
+    return to <= from
+        ? 0
+        : static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(to - from).count());
+}
+
 /// For stored records, which outlive a VM.
 [[nodiscard]] inline WallTime wallTimeNow()
 {
--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -349,6 +349,7 @@
         const bool placed = recorded != nullptr && recorded->phase == TaskPhase::Placed
             && recorded->run == placement.run && recorded->worker == placement.worker;
         if (placed) {
+            supervisor_->noteRecoveryStep(RecoveryStep::PlacementRecorded);
             supervisor_->start(task, ticket, now);
         } else if (isOutcomeKnown) {
             supervisor_->cancelReservation(task);
--- a/src/services/dispatchtickets.cpp
+++ b/src/services/dispatchtickets.cpp
@@ -127,6 +127,7 @@
         return;
     }
     const MonotonicTime now = monotonicNow();
+    supervisor_->noteRecoveryStep(RecoveryStep::TicketsAnswered);
     logInfo("tickets.answered",
         {{"job", step.graph.value()}, {"step", std::uint64_t {step.step}},
             {"workers", std::uint64_t {workers.size()}},
--- a/src/services/journalservice.cpp
+++ b/src/services/journalservice.cpp
@@ -63,10 +63,15 @@
         if (!storage_) {
             return success();
         }
+        const MonotonicTime loadStartedAt = monotonicNow();
         BOOST_OUTCOME_TRY(StoredState stored, storage_->load());
+        const MonotonicTime restoreStartedAt = monotonicNow();
         if (stored.snapshot) {
             BOOST_OUTCOME_TRY(state_.restore(stored.snapshot->data));
         }
+        const MonotonicTime restoredAt = monotonicNow();
+        const std::size_t snapshotBytes = stored.snapshot ? stored.snapshot->data.size() : 0;
+        const std::size_t entryCount = stored.entries.size();
         hardState_ = stored.hardState;
         std::random_device random;
         const std::uint64_t seed = (std::uint64_t {random()} << 32U) ^ random();
@@ -74,7 +79,13 @@
             std::move(stored), seed, monotonicNow());
         logInfo("journal.opened",
             {{"replica", storage_->identity().value()},
-                {"last_index", consensus_->lastIndex().value()}, {"formed", isFormed()}});
+                {"last_index", consensus_->lastIndex().value()}, {"formed", isFormed()},
+                {"snapshot_index", consensus_->snapshotIndex().value()},
+                {"snapshot_bytes", std::uint64_t {snapshotBytes}},
+                {"entries", std::uint64_t {entryCount}},
+                {"load_ms", elapsedMs(loadStartedAt, restoreStartedAt)},
+                {"restore_ms", elapsedMs(restoreStartedAt, restoredAt)},
+                {"process_ms", elapsedMs(processStartedAt, restoredAt)}});
         snapshots_ = std::make_unique<SnapshotMaker>(control_, *storage_,
             [this](const Result<void> &outcome) { onSnapshotPrepared(outcome); });
         peers_->onMessage([this](const Message &message) { receive(message); });
@@ -283,11 +294,6 @@
         if (now - requestedAt < lateStoreThreshold) {
             return;
         }
-        const std::function<std::uint64_t(MonotonicTime, MonotonicTime)> elapsedMs =
-            [](MonotonicTime from, MonotonicTime to) {
-                return static_cast<std::uint64_t>(
-                    std::chrono::duration_cast<Milliseconds>(to - from).count());
-            };
         logWarning("journal.store_late",
             {{"waited_ms", elapsedMs(requestedAt, startedAt)},
                 {"wrote_ms", elapsedMs(startedAt, finishedAt)},
@@ -302,6 +308,10 @@
                 fail(restored.error());
                 return;
             }
+            logInfo("journal.installed",
+                {{"index", ready.install->index.value()},
+                    {"bytes", std::uint64_t {ready.install->data.size()}},
+                    {"process_ms", elapsedMs(processStartedAt, monotonicNow())}});
         }
         if (!ready.append.empty()) {
             consensus_->persisted(ready.append.back().index, ready.append.back().term);
@@ -429,7 +439,9 @@
         }
         wasLeader_ = consensus_->isLeader();
         logInfo(wasLeader_ ? "journal.leading" : "journal.following",
-            {{"term", consensus_->term().value()}});
+            {{"term", consensus_->term().value()}, {"last_index", consensus_->lastIndex().value()},
+                {"applied", consensus_->appliedIndex().value()},
+                {"process_ms", elapsedMs(processStartedAt, monotonicNow())}});
     }
 
     void repair()
--- a/src/services/presence.cpp
+++ b/src/services/presence.cpp
@@ -121,8 +121,8 @@
         const Readiness before = readiness_.exchange(next);
         if (before != next) {
             logInfo("vm.readiness",
-                {{"from", text(before)}, {"to", text(next)},
-                    {"leader", leader_ ? leader_->ip : ""}});
+                {{"from", text(before)}, {"to", text(next)}, {"leader", leader_ ? leader_->ip : ""},
+                    {"process_ms", elapsedMs(processStartedAt, monotonicNow())}});
         }
     }
 
--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -112,6 +112,7 @@
         logInfo("worker.answers_again",
             {{"worker", id.value()}, {"missed", std::uint64_t {worker.unansweredHoldCount}}});
     }
+    recoverySteps_.reach(RecoveryStep::HoldAnswered, now);
     worker.unansweredHoldCount = 0;
     worker.isAnswering = now - sent <= timeout;
     worker.answeredHoldSentAt = sent;
@@ -183,6 +184,7 @@
         run->confirmedAt = parts_.clock();
     }
     if (run->stage == Stage::Running) {
+        recoverySteps_.reach(RecoveryStep::RunListed, parts_.clock());
         checkProgress(id, *run, listed);
     } else if (run->stage == Stage::Stopping && run->confirmedAt
         && parts_.clock() - *run->confirmedAt > parts_.times.orderTimeout * 2) {
@@ -292,6 +294,7 @@
 
 void RunSupervisor::onEndsRecorded(const EndList &list)
 {
+    recoverySteps_.reach(RecoveryStep::EndRecorded, parts_.clock());
     for (const EndedRun &end : list.ended) {
         const Run *run = findRun(end.task, end.run);
         if (run != nullptr && run->placement.worker == list.worker) {
--- a/src/services/runlogs.cpp
+++ b/src/services/runlogs.cpp
@@ -123,6 +123,29 @@
     return load;
 }
 
+void RunSupervisor::noteRecoveryStep(RecoveryStep step)
+{
+    recoverySteps_.reach(step, parts_.clock());
+}
+
+void RunSupervisor::updateRecoverySteps(MonotonicTime now)
+{
+    if (isRetired_ || !recoverySteps_.isWatching(now)) {
+        return;
+    }
+    RecoverySteps::Progress progress;
+    progress.workers = workers_.size();
+    progress.canSendOrders = canSendOrders();
+    for (const std::pair<const WorkerId, Worker> &entry : workers_) {
+        progress.unheardWorkers += entry.second.hasIncarnation ? 0 : 1;
+        progress.openWorkers += isOpen(entry.second, now) ? 1 : 0;
+    }
+    for (const std::pair<const TaskRef, Run> &entry : runs_) {
+        progress.adoptedRuns += entry.second.stage == Stage::Adopted ? 1 : 0;
+    }
+    recoverySteps_.update(progress, parts_.state.catalog().version != DocumentVersion {}, now);
+}
+
 const std::set<GraphId> &RunSupervisor::begunJobs() const
 {
     return begunJobs_;
--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -40,6 +40,7 @@
     order.ticket = run.ticket;
     run.isOrderPending = true;
     ++run.sentOrderCount;
+    recoverySteps_.reach(RecoveryStep::OrderSent, now);
     parts_.link.start(endpointOf(worker), order, parts_.times.orderTimeout,
         [self = shared_from_this(), task, number = order.run, id = run.placement.worker,
             incarnation = run.placement.incarnation](
@@ -59,6 +60,7 @@
 {
     if (outcome == StartOutcome::Started) {
         begunJobs_.insert(task.graph);
+        recoverySteps_.reach(RecoveryStep::StartAnswered, parts_.clock());
     }
     Run *run = findRun(task, number);
     if (isRetired_ || run == nullptr) {
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -23,6 +23,7 @@
     , lastTickAt_(now)
     , tickingSince_(now)
     , inheritedLeasesExpireAt_(now + maxLeaseLifetime())
+    , recoverySteps_(parts_.fence, now)
 {
 }
 
@@ -68,7 +69,7 @@
     }
     logInfo("dispatch.took_over",
         {{"runs", std::uint64_t {runs_.size()}}, {"workers", std::uint64_t {workers_.size()}},
-            {"fence", parts_.fence.value()}});
+            {"process_ms", elapsedMs(processStartedAt, now)}, {"fence", parts_.fence.value()}});
 }
 
 void RunSupervisor::reserve(const RunPlacement &placement, const StepSpec &spec)
@@ -193,6 +194,7 @@
     if (now >= nextSweepAt_) {
         nextSweepAt_ = now + parts_.times.sweepInterval;
         sweep(now);
+        updateRecoverySteps(now);
     }
     proposeListedEnds();
     if (!unconfirmedEnds_.empty() && !isRetired_) {
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -12,6 +12,7 @@
 
 #include "src/net/clock.h"
 #include "src/services/interfaces.h"
+#include "src/services/recoverysteps.h"
 #include "src/services/workerlink.h"
 
 #include <crocusmill/announcement.h>
@@ -125,6 +126,8 @@
     void forgetClosedJobs();
 
     [[nodiscard]] const Fleet &fleet() const;
+    /// Notes a step of the recovery that others see, for the log.
+    void noteRecoveryStep(RecoveryStep step);
     /// Returns the room that the fleet has gained since the last call.
     [[nodiscard]] FleetGains takeGains();
     /// Returns whether a run of the task takes up room on a worker.
@@ -203,6 +206,7 @@
     [[nodiscard]] std::optional<WorkerTime> grantLease(Worker &worker, MonotonicTime now);
 
     void sweep(MonotonicTime now);
+    void updateRecoverySteps(MonotonicTime now);
     void sendDueOrders(MonotonicTime now);
     void setStage(Run &run, Stage stage);
     [[nodiscard]] static bool needsOrders(const Run &run);
@@ -266,6 +270,7 @@
     std::map<TaskRef, Run> runs_;
     // Invariant: contains every run that needs an order; may contain runs that no longer do.
     std::set<TaskRef> pendingOrders_;
+    RecoverySteps recoverySteps_;
     std::set<GraphId> begunJobs_; // for the log only; may contain jobs that are not open any more
     MonotonicTime nextSweepAt_ {};
     std::vector<EndList> unproposedEnds_; // listed by workers
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -113,6 +113,7 @@
     health_.forget(heartbeat.id);
     worker.heartbeat = heartbeat;
     worker.hasIncarnation = true;
+    recoverySteps_.reach(RecoveryStep::WorkerHeard, now);
 }
 
 /// Ends the runs of an incarnation: another process answers at the worker's address.
