Log: at most one record a second for each worker that refuses or garbles

LogLimiter admits one record for each key and interval, and the next record tells in `left_out` how many were not written. The outcome of each refused run is still in its own `run.over` record.

--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -93,9 +93,7 @@
             + std::min(initialRefusalBackoff * (1U << std::min(worker.refusalCount, 5U)),
                 maxRefusalBackoff);
         fleet_.setOpen(id, isOpen(worker, now));
-        logInfo("run.refused",
-            {{"task", asText(task)}, {"worker", id.value()},
-                {"orders", std::uint64_t {run->sentOrderCount}}});
+        logRefusedStart(task, *run, now);
         if (run->sentOrderCount == 1) {
             recordInferredEnds({makeEnd(*run, RunEnd::NotStarted)}, EndReason::StartRefused);
             return;
@@ -110,6 +108,17 @@
     run->nextOrderAt = now;
 }
 
+void RunSupervisor::logRefusedStart(const TaskRef &task, const Run &run, MonotonicTime now)
+{
+    const WorkerId &worker = run.placement.worker;
+    const std::optional<std::uint64_t> leftOut = refusedStarts_.admit(worker.value(), now);
+    if (leftOut) {
+        logInfo("run.refused",
+            {{"task", asText(task)}, {"worker", worker.value()},
+                {"orders", std::uint64_t {run.sentOrderCount}}, {"left_out", *leftOut}});
+    }
+}
+
 void RunSupervisor::sendStop(const TaskRef &task, Run &run, MonotonicTime now)
 {
     Worker &worker = findOrAddWorker(run.placement.worker);
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -14,6 +14,7 @@
 
 /// After this many starts without an outcome, a stop settles the run.
 constexpr std::uint32_t maxStartOrders = 6;
+constexpr Milliseconds refusalRecordInterval {1'000}; // between log records about one worker
 
 } // namespace
 
@@ -23,6 +24,7 @@
     , lastTickAt_(now)
     , tickingSince_(now)
     , inheritedLeasesExpireAt_(now + maxLeaseLifetime())
+    , refusedStarts_(refusalRecordInterval)
     , recoverySteps_(parts_.fence, now)
 {
 }
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "src/net/clock.h"
+#include "src/net/loglimiter.h"
 #include "src/services/interfaces.h"
 #include "src/services/recoverysteps.h"
 #include "src/services/workerlink.h"
@@ -231,6 +232,7 @@
     void onEndsRecorded(const EndList &list);
 
     void sendStart(const TaskRef &task, Run &run, MonotonicTime now);
+    void logRefusedStart(const TaskRef &task, const Run &run, MonotonicTime now);
     void onStartAnswered(
         const TaskRef &task, RunNumber number, const WorkerId &id, StartOutcome outcome);
     void sendStop(const TaskRef &task, Run &run, MonotonicTime now);
@@ -270,6 +272,7 @@
     std::map<TaskRef, Run> runs_;
     // Invariant: contains every run that needs an order; may contain runs that no longer do.
     std::set<TaskRef> pendingOrders_;
+    LogLimiter refusedStarts_; // by worker
     RecoverySteps recoverySteps_;
     std::set<GraphId> begunJobs_; // for the log only; may contain jobs that are not open any more
     MonotonicTime nextSweepAt_ {};
--- a/test/runsupervisor.cpp
+++ b/test/runsupervisor.cpp
@@ -4,6 +4,7 @@
 
 #include "src/net/clock.h"
 #include "test/fakes/graphs.h"
+#include "test/fakes/logcapture.h"
 #include "test/fakes/workerlink.h"
 
 #include <catch2/catch.hpp>
@@ -462,4 +463,29 @@
     CHECK(fixture.link.starts.size() == 1);
 }
 
+TEST_CASE("a worker that refuses each start gets one log record a second")
+{
+    const fakes::LogCapture log;
+    Fixture fixture;
+    fixture.receiveHeartbeat();
+    fixture.link.answerHold({});
+    const MonotonicTime startedAt = monotonicNow();
+    constexpr std::uint32_t startCount = 20;
+    for (std::uint32_t run = 1; run <= startCount; ++run) {
+        fixture.supervisor->reserve({task, RunNumber {run}, worker, firstIncarnation}, stepOf(1));
+        fixture.recordPlacement(run);
+        fixture.supervisor->start(task, std::nullopt, monotonicNow());
+        fixture.link.answerStart(StartOutcome::Refused);
+        REQUIRE(fixture.phase() == TaskPhase::Waiting);
+    }
+    const std::chrono::seconds elapsed =
+        std::chrono::ceil<std::chrono::seconds>(monotonicNow() - startedAt);
+    CHECK(fixture.link.starts.size() == startCount);
+    CHECK(log.records("run.over").size() == startCount);
+    const std::vector<std::string> records = log.records("run.refused");
+    REQUIRE(!records.empty());
+    CHECK(records.size() <= static_cast<std::size_t>(elapsed.count()));
+    CHECK(fakes::valueIn(records.front(), "left_out") == "0");
+}
+
 } // namespace crocusmill
--- a/test/workercalls.cpp
+++ b/test/workercalls.cpp
@@ -3,6 +3,7 @@
 #include "platform/services.h"
 #include "src/services/interfaces.h"
 #include "src/services/workerlink.h"
+#include "test/fakes/logcapture.h"
 #include "test/fakes/scriptedpeer.h"
 
 #include <boost/json.hpp>
@@ -166,4 +167,23 @@
         == R"({"fence":7,"ack_cursor":57,"deadline_ms":486000,"wait_ms":100})");
 }
 
+TEST_CASE("a worker that answers each hold unreadably gets one log record a second")
+{
+    const fakes::LogCapture log;
+    Fixture fixture;
+    const MonotonicTime startedAt = std::chrono::steady_clock::now();
+    constexpr int holdCount = 20;
+    for (int i = 0; i < holdCount; ++i) {
+        fixture.answer("503 Unavailable", "{}");
+        CHECK(fixture.hold().error == HoldError::Unanswered);
+    }
+    const std::chrono::seconds elapsed =
+        std::chrono::ceil<std::chrono::seconds>(std::chrono::steady_clock::now() - startedAt);
+    const std::vector<std::string> records = log.records("worker.list_unreadable");
+    REQUIRE(!records.empty());
+    CHECK(records.size() <= static_cast<std::size_t>(elapsed.count()));
+    CHECK(fakes::valueIn(records.front(), "status") == "503");
+    CHECK(fakes::valueIn(records.front(), "left_out") == "0");
+}
+
 } // namespace crocusmill::platform
