Log: why an entry refused a call or gave it up, and whom it had asked

A `job.call` with 503 or 504 did not tell whether the entry had reached its limit of open calls, knew no leader, was refused by the leader or got no answer in time.

The client of the leader writes one `calls.unserved` record for each reason and second, with the VM asked last, the leader it knows, how long ago it heard of it, the open calls and the limit in force. The origin of a refusal is set on the calling VM and not sent.

--- a/src/services/clientservice.cpp
+++ b/src/services/clientservice.cpp
@@ -10,6 +10,7 @@
 #include "src/net/clock.h"
 #include "src/net/peerstream.h"
 #include "src/services/sharedqueries.h"
+#include "src/services/unservedcalls.h"
 #include "src/wire/callclass.h"
 
 #include <crocusmill/openlimit.h>
@@ -106,6 +107,7 @@
         std::set<NodeAddress> contactedReplicas; // since the last retry delay
         std::set<NodeAddress> awaitedReplicas; // those that have not answered yet
         std::optional<NodeAddress> firstReplica; // the first one contacted
+        std::optional<NodeAddress> lastReplica; // the newest one contacted
         Milliseconds nextRetryDelay {initialRetryDelay};
         bool isOutcomeUnknown = false; // a VM may have executed the call
         bool isAnswered = false;
@@ -121,20 +123,22 @@
     {
         const CallClass callClass = callClassOf(call);
         if (isLimited(callClass) && !limit_.take()) {
-            done(makeRefusal(limit_.retryAfter()));
+            recordUnserved(UnservedReason::OpenLimit, std::nullopt, Milliseconds {0});
+            done(makeRefusal(limit_.retryAfter(), RefusalOrigin::OpenLimit));
             return;
         }
         const std::shared_ptr<Pending> pending =
             std::make_shared<Pending>(Pending {call, callClass, monotonicNow(), deadline, done,
-                asio::steady_timer {control_}, asio::steady_timer {control_}, {}, {}});
+                asio::steady_timer {control_}, asio::steady_timer {control_}, {}, {}, {}, {}});
         tryCall(pending);
     }
 
-    Reply makeRefusal(Milliseconds retryAfter)
+    Reply makeRefusal(Milliseconds retryAfter, RefusalOrigin origin)
     {
         std::uniform_int_distribution<std::int64_t> jitter {0, maxRetryJitter.count()};
         GraphReply refusal;
         refusal.outcome = GraphOutcome::Refused;
+        refusal.refusedBy = origin;
         refusal.retryAfter = retryAfter + Milliseconds {jitter(random_)};
         return refusal;
     }
@@ -174,7 +178,7 @@
     {
         if (isLimited(pending.callClass) && !pending.isOutcomeUnknown
             && pending.awaitedReplicas.empty()) {
-            return makeRefusal(expectedElectionTime);
+            return makeRefusal(expectedElectionTime, RefusalOrigin::NoLeader);
         }
         return PeerError::TimedOut;
     }
@@ -197,9 +201,22 @@
             }
             limit_.release();
         }
+        if (const std::optional<UnservedReason> reason = unservedReason(reply)) {
+            recordUnserved(*reason, pending->lastReplica,
+                std::chrono::duration_cast<Milliseconds>(monotonicNow() - pending->startedAt));
+        }
         pending->done(reply);
     }
 
+    void recordUnserved(
+        UnservedReason reason, const std::optional<NodeAddress> &lastAsked, Milliseconds waited)
+    {
+        unservedCalls_.record(reason,
+            {lastAsked, knownLeader_, lastLeaderContact_, waited, limit_.openCount(),
+                limit_.limit()},
+            monotonicNow());
+    }
+
     void sendTo(const PendingPtr &pending, const NodeAddress &to)
     {
         pending->contactedReplicas.insert(to);
@@ -207,6 +224,7 @@
         if (!pending->firstReplica) {
             pending->firstReplica = to;
         }
+        pending->lastReplica = to;
         peers_->call(to, pending->call, std::max(remainingTime(*pending), Milliseconds {1}),
             [this, pending, to](const Result<Reply> &reply) { onReply(pending, to, reply); });
     }
@@ -334,7 +352,7 @@
         if (pending.callClass == CallClass::Submission && canBeAccepted) {
             return PeerError::TimedOut;
         }
-        return makeRefusal(graphReply->retryAfter);
+        return makeRefusal(graphReply->retryAfter, RefusalOrigin::Leader);
     }
 
     void retryLater(const PendingPtr &pending)
@@ -354,6 +372,7 @@
     std::optional<NodeAddress> knownLeader_;
     MonotonicTime lastLeaderContact_ {}; // when knownLeader_ last answered or was reported
     OpenLimit limit_;
+    UnservedCalls unservedCalls_;
     SharedQueries sharedQueries_;
     std::minstd_rand random_ {std::random_device {}()};
     Peers *peers_ = nullptr;
--- a/src/wire/calls.h
+++ b/src/wire/calls.h
@@ -243,6 +243,8 @@
     NoJob,
 };
 
+enum class RefusalOrigin { Leader, OpenLimit, NoLeader };
+
 struct GraphReply
 {
     static constexpr const char *kind = "graph_reply";
@@ -251,6 +253,7 @@
     bool started = false;
     std::optional<std::uint64_t> pending; // for a queue: number of jobs that have not started
     Milliseconds retryAfter {0}; // with Refused
+    RefusalOrigin refusedBy = RefusalOrigin::Leader; // set by the calling VM; not sent
 };
 
 /// Heartbeat or departure of a worker that receives its orders by calls.
--- a/test/clientservice.cpp
+++ b/test/clientservice.cpp
@@ -3,6 +3,7 @@
 #include "src/services/clientservice.h"
 
 #include "src/services/leaderservice.h"
+#include "test/fakes/logcapture.h"
 #include "test/fakes/services.h"
 
 #include <catch2/catch.hpp>
@@ -302,4 +303,47 @@
     CHECK(fixture.peers_->calledAddresses().size() == 2);
 }
 
+TEST_CASE("calls that are not served are logged by reason, once a second")
+{
+    const fakes::LogCapture log;
+    Fixture fixture;
+    const Call submission {graphCall(GraphAction::Submit, "a")};
+    constexpr Milliseconds shortTimeout {100};
+    constexpr std::size_t callCount = 100;
+    // No replica answers: calls up to the limit wait, the others are refused.
+    static_cast<void>(fixture.callMany(callCount, submission, shortTimeout));
+    const std::vector<std::string> records = log.records("calls.unserved");
+    REQUIRE(records.size() == 2);
+    CHECK(fakes::valueIn(records[0], "reason") == "\"open_limit\"");
+    CHECK(fakes::valueIn(records[0], "open") == "64");
+    CHECK(fakes::valueIn(records[0], "limit") == "64");
+    CHECK(fakes::valueIn(records[1], "reason") == "\"unanswered\"");
+    CHECK(fakes::valueIn(records[1], "last_asked").find("\"10.0.0.") == 0);
+    CHECK(fakes::valueIn(records[1], "leader") == "\"\"");
+}
+
+TEST_CASE("a refusal tells whether the leader refused or no leader was found")
+{
+    const fakes::LogCapture log;
+    Fixture fixture;
+    for (const std::uint16_t replica : {1, 2, 3}) {
+        fixture.peers_->answer(vm(replica), Redirect {});
+    }
+    const Call submission {graphCall(GraphAction::Submit, "a")};
+    constexpr Milliseconds shortTimeout {400};
+    const Result<Reply> noLeader = fixture.callMany(1, submission, shortTimeout).front();
+    REQUIRE(noLeader.has_value());
+    CHECK(std::get<GraphReply>(noLeader.value()).refusedBy == RefusalOrigin::NoLeader);
+    for (const std::uint16_t replica : {1, 2, 3}) {
+        fixture.peers_->answer(vm(replica), graphReply(GraphOutcome::Refused));
+    }
+    const Result<Reply> refused = fixture.callMany(1, submission, shortTimeout).front();
+    REQUIRE(refused.has_value());
+    CHECK(std::get<GraphReply>(refused.value()).refusedBy == RefusalOrigin::Leader);
+    const std::vector<std::string> records = log.records("calls.unserved");
+    REQUIRE(records.size() == 2);
+    CHECK(fakes::valueIn(records[0], "reason") == "\"no_leader\"");
+    CHECK(fakes::valueIn(records[1], "reason") == "\"leader_refused\"");
+}
+
 } // namespace crocusmill
