--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -40,6 +40,7 @@
     order.ticket = run.ticket;
     run.isOrderPending = true;
     ++run.sentOrderCount;
+    recoverySteps_.reach(RecoveryStep::OrderSent, now);
     parts_.link.start(endpointOf(worker), order, parts_.times.orderTimeout,
         [self = shared_from_this(), task, number = order.run, id = run.placement.worker,
             incarnation = run.placement.incarnation](
@@ -62,6 +63,8 @@
     }
     if (outcome == StartOutcome::Started) {
         noteStart(task.graph); // also if the run has been given up meanwhile
+        begunJobs_.insert(task.graph);
+        recoverySteps_.reach(RecoveryStep::StartAnswered, parts_.clock());
     }
     Run *run = findRun(task, number);
     if (run == nullptr) {
@@ -94,9 +97,7 @@
             + std::min(initialRefusalBackoff * (1U << std::min(worker.refusalCount, 5U)),
                 maxRefusalBackoff);
         fleet_.setOpen(id, isOpen(worker, now));
-        logInfo("run.refused",
-            {{"task", asText(task)}, {"worker", id.value()},
-                {"orders", std::uint64_t {run->sentOrderCount}}});
+        logRefusedStart(task, *run, now);
         if (run->sentOrderCount == 1) {
             recordInferredEnds({makeEnd(*run, RunEnd::NotStarted)}, EndReason::StartRefused);
             return;
@@ -111,6 +112,17 @@
     run->nextOrderAt = now;
 }
 
+void RunSupervisor::logRefusedStart(const TaskRef &task, const Run &run, MonotonicTime now)
+{
+    const WorkerId &worker = run.placement.worker;
+    const std::optional<std::uint64_t> leftOut = refusedStarts_.admit(worker.value(), now);
+    if (leftOut) {
+        logInfo("run.refused",
+            {{"task", asText(task)}, {"worker", worker.value()},
+                {"orders", std::uint64_t {run.sentOrderCount}}, {"left_out", *leftOut}});
+    }
+}
+
 void RunSupervisor::sendStop(const TaskRef &task, Run &run, MonotonicTime now)
 {
     Worker &worker = findOrAddWorker(run.placement.worker);
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -14,6 +14,7 @@
 
 /// After this many starts without an outcome, a stop settles the run.
 constexpr std::uint32_t maxStartOrders = 6;
+constexpr Milliseconds refusalRecordInterval {1'000}; // between log records about one worker
 
 } // namespace
 
@@ -23,6 +24,8 @@
     , lastTickAt_(now)
     , tickingSince_(now)
     , inheritedLeasesExpireAt_(now + maxLeaseLifetime())
+    , refusedStarts_(refusalRecordInterval)
+    , recoverySteps_(parts_.fence, now)
 {
 }
 
@@ -68,7 +71,7 @@
     }
     logInfo("dispatch.took_over",
         {{"runs", std::uint64_t {runs_.size()}}, {"workers", std::uint64_t {workers_.size()}},
-            {"fence", parts_.fence.value()}});
+            {"process_ms", elapsedMs(processStartedAt, now)}, {"fence", parts_.fence.value()}});
 }
 
 void RunSupervisor::reserve(const RunPlacement &placement, const StepSpec &spec)
@@ -195,6 +198,7 @@
     if (now >= nextSweepAt_) {
         nextSweepAt_ = now + parts_.times.sweepInterval;
         sweep(now);
+        updateRecoverySteps(now);
     }
     proposeListedEnds();
     proposeStarts(now);
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -11,7 +11,9 @@
 #pragma once
 
 #include "src/net/clock.h"
+#include "src/net/loglimiter.h"
 #include "src/services/interfaces.h"
+#include "src/services/recoverysteps.h"
 #include "src/services/workerlink.h"
 
 #include <crocusmill/announcement.h>
@@ -107,14 +109,25 @@
     struct Load
     {
         std::size_t runs = 0;
+        std::size_t reservedRuns = 0;
+        std::size_t adoptedRuns = 0;
+        std::size_t runningRuns = 0;
         std::size_t pendingOrders = 0; // runs that wait for the outcome of a start or stop
         std::size_t workers = 0;
         std::size_t openWorkers = 0;
         std::size_t unrecordedEndLists = 0; // lists whose ends are not proposed yet
+        bool canSendOrders = false;
     };
     [[nodiscard]] Load load(MonotonicTime now) const;
+    /// Returns the jobs of which a worker has reported the start or the end of a run to this
+    /// supervisor.
+    [[nodiscard]] const std::set<GraphId> &begunJobs() const;
+    /// Removes the jobs that are not open any more from begunJobs().
+    void forgetClosedJobs();
 
     [[nodiscard]] const Fleet &fleet() const;
+    /// Notes a step of the recovery that others see, for the log.
+    void noteRecoveryStep(RecoveryStep step);
     /// Returns the room that the fleet has gained since the last call.
     [[nodiscard]] FleetGains takeGains();
     /// Returns whether a run of the task takes up room on a worker.
@@ -196,6 +209,7 @@
     [[nodiscard]] std::optional<WorkerTime> grantLease(Worker &worker, MonotonicTime now);
 
     void sweep(MonotonicTime now);
+    void updateRecoverySteps(MonotonicTime now);
     void sendDueOrders(MonotonicTime now);
     void setStage(Run &run, Stage stage);
     [[nodiscard]] static bool needsOrders(const Run &run);
@@ -220,6 +234,7 @@
     void onEndsRecorded(const EndList &list);
 
     void sendStart(const TaskRef &task, Run &run, MonotonicTime now);
+    void logRefusedStart(const TaskRef &task, const Run &run, MonotonicTime now);
     void onStartAnswered(
         const TaskRef &task, RunNumber number, const WorkerId &id, StartOutcome outcome);
     void sendStop(const TaskRef &task, Run &run, MonotonicTime now);
@@ -261,6 +276,9 @@
     std::map<TaskRef, Run> runs_;
     // Invariant: contains every run that needs an order; may contain runs that no longer do.
     std::set<TaskRef> pendingOrders_;
+    LogLimiter refusedStarts_; // by worker
+    RecoverySteps recoverySteps_;
+    std::set<GraphId> begunJobs_; // for the log only; may contain jobs that are not open any more
     MonotonicTime nextSweepAt_ {};
     std::vector<EndList> unproposedEnds_; // listed by workers
     // Jobs that workers have begun and that are not recorded as started. Invariant: no job is in
