Repeat unanswered calls to workers by their answer times

Cause: one hold without an answer closed its worker, and it was asked again only after 0.95 s; a start was repeated after 0.46 s, six times, by when its ticket had expired; two unanswered holds in a row ended the worker's leases, however recently it had answered. All of them took one lost answer for silence.

Calls to workers now have a timeout that follows the answer times, as TCP's does: 100 ms while answers are quick, up to the 400 ms of before when this VM or its links are slow, and longer with repeats. A worker is suspected after three unanswered holds in a row, which now takes no longer than one did, and gets leases until it has not answered for 2 s. It is unreachable only if it was also asked in vain for 2.6 s, so that quick repeats are no evidence.

--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -12,9 +12,10 @@
 namespace
 {
 
-constexpr Milliseconds holdRetryInterval {150};
-/// After this many unanswered holds in a row the worker gets no more leases.
-constexpr std::uint32_t maxUnansweredHolds = 2;
+/// Pause after an unanswered hold, doubled with each further one.
+constexpr Milliseconds initialHoldRetryInterval {20};
+constexpr Milliseconds maxHoldRetryInterval {80};
+constexpr std::uint32_t maxDoublings = 2;
 
 } // namespace
 
@@ -30,13 +31,11 @@
     // A later process under the same id would discard its own ends. So ends are acknowledged only
     // to a process that has just answered.
     const Milliseconds freshAnswerAge =
-        parts_.times.holdWaitTimeout + parts_.times.holdAnswerTimeout;
+        parts_.times.holdWaitTimeout + parts_.times.answerTimeout.maxTimeout * 2;
     if (worker.isAnswering && now - worker.answeredHoldSentAt <= freshAnswerAge) {
         order.acknowledged = worker.lastRecordedEnd;
     }
-    // A worker that does not answer or is leaving gets no more leases, so that the leases of its
-    // runs expire.
-    if (worker.unansweredHoldCount < maxUnansweredHolds && !worker.leavesAt) {
+    if (canGetLease(worker, now)) {
         order.deadline = grantLease(worker, now);
     }
     // The first answer must not be delayed: it shows which adopted runs are running, and it makes
@@ -45,7 +44,9 @@
         ? Milliseconds {0}
         : parts_.times.holdWaitTimeout;
     worker.isHoldPending = true;
-    const Milliseconds timeout = order.wait + parts_.times.holdAnswerTimeout;
+    // Twice the timeout of an order: an answer with long lists takes longer.
+    const Milliseconds timeout =
+        order.wait + answerTimeout_.timeout(worker.unansweredHoldCount / 2) * 2;
     parts_.link.hold(endpointOf(worker), order, timeout,
         [self = shared_from_this(), id, incarnation = worker.heartbeat.incarnation, now, timeout](
             const HoldOutcome &outcome) {
@@ -63,13 +64,19 @@
         return;
     }
     if (error == HoldError::NotSent) {
-        worker.nextHoldAt = now + holdRetryInterval;
+        worker.nextHoldAt = now + maxHoldRetryInterval;
         return;
     }
     worker.isGone = worker.isGone || (worker.leavesAt && error == HoldError::Refused);
     ++worker.unansweredHoldCount;
     worker.earlierUnansweredHoldSentAt = std::exchange(worker.unansweredHoldSentAt, sent);
-    worker.nextHoldAt = now + holdRetryInterval;
+    if (worker.unansweredHoldCount == 1) {
+        worker.unansweredSince = sent;
+    }
+    worker.nextHoldAt = now
+        + std::min(initialHoldRetryInterval
+                * (1U << std::min(worker.unansweredHoldCount - 1, maxDoublings)),
+            maxHoldRetryInterval);
     if (worker.unansweredHoldCount == 1) {
         logWarning(
             "worker.unanswered", {{"worker", id.value()}, {"fenced", error == HoldError::Fenced}});
@@ -103,7 +110,7 @@
         return;
     }
     if (outcome.error == HoldError::OtherIncarnation) {
-        worker.nextHoldAt = now + holdRetryInterval;
+        worker.nextHoldAt = now + maxHoldRetryInterval;
         onIncarnationGone(id, incarnation);
         return;
     }
@@ -198,7 +205,7 @@
         recoverySteps_.reach(RecoveryStep::RunListed, parts_.clock());
         checkProgress(id, *run, listed);
     } else if (run->stage == Stage::Stopping && run->confirmedAt
-        && parts_.clock() - *run->confirmedAt > parts_.times.orderTimeout * 2) {
+        && parts_.clock() - *run->confirmedAt > parts_.times.answerTimeout.maxTimeout * 2) {
         run->confirmedAt.reset(); // the stop had no effect: send it again
     }
 }
--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -39,12 +39,16 @@
     order.resume = graph->find(task)->saved;
     order.ticket = run.ticket;
     run.isOrderPending = true;
+    const Milliseconds timeout = answerTimeout_.timeout(run.sentOrderCount);
     ++run.sentOrderCount;
     recoverySteps_.reach(RecoveryStep::OrderSent, now);
-    parts_.link.start(endpointOf(worker), order, parts_.times.orderTimeout,
+    parts_.link.start(endpointOf(worker), order, timeout,
         [self = shared_from_this(), task, number = order.run, id = run.placement.worker,
-            incarnation = run.placement.incarnation](
-            StartOutcome outcome, std::optional<WorkerTime> clock) {
+            incarnation = run.placement.incarnation,
+            sent = parts_.clock()](StartOutcome outcome, std::optional<WorkerTime> clock) {
+            if (outcome != StartOutcome::Unanswered && outcome != StartOutcome::NotSent) {
+                self->recordAnswerTime(sent);
+            }
             const auto it = self->workers_.find(id);
             const bool isSameIncarnation =
                 it != self->workers_.end() && it->second.heartbeat.incarnation == incarnation;
@@ -132,9 +136,14 @@
     }
     run.isOrderPending = true;
     parts_.link.stop(endpointOf(worker), task, run.placement.run, parts_.fence,
-        parts_.times.orderTimeout,
-        [self = shared_from_this(), placement = run.placement](
-            StopOutcome outcome) { self->onStopAnswered(placement, outcome); });
+        answerTimeout_.timeout(run.unansweredStopCount),
+        [self = shared_from_this(), placement = run.placement, sent = parts_.clock()](
+            StopOutcome outcome) {
+            if (outcome != StopOutcome::Unanswered) {
+                self->recordAnswerTime(sent);
+            }
+            self->onStopAnswered(placement, outcome);
+        });
 }
 
 /// `placement`: that of the run when the stop was sent.
@@ -147,6 +156,8 @@
     const MonotonicTime now = parts_.clock();
     run->isOrderPending = false;
     run->nextOrderAt = now + parts_.times.orderRetryInterval;
+    run->unansweredStopCount =
+        outcome == StopOutcome::Unanswered ? run->unansweredStopCount + 1 : 0;
     if (outcome == StopOutcome::Answered) {
         run->confirmedAt = now;
     } else if (outcome == StopOutcome::OtherIncarnation) {
@@ -162,7 +173,12 @@
         {{"task", asText(listed.task)}, {"run", std::uint64_t {listed.run.value()}},
             {"worker", id.value()}});
     parts_.link.stop(endpointOf(worker), listed.task, listed.run, parts_.fence,
-        parts_.times.orderTimeout, [](StopOutcome /*outcome*/) {});
+        answerTimeout_.timeout(), [](StopOutcome /*outcome*/) {});
+}
+
+void RunSupervisor::recordAnswerTime(MonotonicTime sent)
+{
+    answerTimeout_.recordAnswer(std::chrono::duration_cast<Microseconds>(parts_.clock() - sent));
 }
 
 } // namespace crocusmill
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -13,7 +13,7 @@
 {
 
 /// After this many starts without an outcome, a stop settles the run.
-constexpr std::uint32_t maxStartOrders = 6;
+constexpr std::uint32_t maxStartOrders = 8;
 constexpr Milliseconds refusalRecordInterval {1'000}; // between log records about one worker
 
 } // namespace
@@ -24,6 +24,7 @@
     , lastTickAt_(now)
     , tickingSince_(now)
     , inheritedLeasesExpireAt_(now + maxLeaseLifetime())
+    , answerTimeout_(parts_.times.answerTimeout)
     , refusedStarts_(refusalRecordInterval)
     , recoverySteps_(parts_.fence, now)
 {
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -17,6 +17,7 @@
 #include "src/services/workerlink.h"
 
 #include <crocusmill/announcement.h>
+#include <crocusmill/answertimeout.h>
 #include <crocusmill/fleet.h>
 #include <crocusmill/workerhealth.h>
 
@@ -34,15 +35,15 @@
     Milliseconds leaseDuration {6'000};
     /// How long a worker delays its answer to a hold while it has no end to list.
     Milliseconds holdWaitTimeout {1'000};
-    /// Added to the wait, for the network and a slow worker.
-    Milliseconds holdAnswerTimeout {800};
-    /// An order without an answer after this time is sent again.
-    Milliseconds orderTimeout {400};
-    Milliseconds orderRetryInterval {60};
+    /// Timeouts of calls to workers, without the wait of a hold.
+    AnswerTimeoutSettings answerTimeout;
+    Milliseconds orderRetryInterval {20};
     /// First starts of jobs that are reported within this time share a record.
     Milliseconds startRecordInterval {100};
     /// A worker that has not answered for this long gets no new tasks.
     Milliseconds unresponsiveTimeout {2'600};
+    /// A worker that has not answered for this long gets no more leases.
+    Milliseconds leaseGrantTimeout {2'000};
     /// Added to the end of a lease before the runs that it covered count as ended.
     Milliseconds leaseMargin {100};
     /// A task has stalled after this long without progress, or after this share of its estimate
@@ -156,6 +157,7 @@
         std::optional<MonotonicTime> confirmedAt;
         MonotonicTime nextOrderAt {};
         std::uint32_t sentOrderCount = 0; // starts that the worker may have carried out
+        std::uint32_t unansweredStopCount = 0; // in a row
         bool isOrderPending = false; // an order waits for its answer
         bool isEnding = false; // its end is being recorded
         std::uint32_t percent = 0; // progress as last listed
@@ -175,6 +177,7 @@
         MonotonicTime nextHoldAt {};
         std::uint32_t unansweredHoldCount = 0; // in a row
         bool isAnswering = false; // the newest completed hold was answered in time
+        MonotonicTime unansweredSince {}; // send time of the first of them; valid from one in a row
         MonotonicTime unansweredHoldSentAt {}; // send time of the newest unanswered hold
         MonotonicTime earlierUnansweredHoldSentAt {}; // of the one before; valid from two in a row
         EndNumber lastRecordedEnd; // ends up to this number are in the journal
@@ -203,6 +206,7 @@
     void onIncarnationGone(const WorkerId &id, const Incarnation &incarnation);
     void updateFleet(const Worker &worker, MonotonicTime now);
     [[nodiscard]] bool isOpen(const Worker &worker, MonotonicTime now) const;
+    [[nodiscard]] bool canGetLease(const Worker &worker, MonotonicTime now) const;
     [[nodiscard]] Milliseconds maxLeaseLifetime() const;
     [[nodiscard]] bool isUnreachable(const Worker &worker, MonotonicTime now) const;
     [[nodiscard]] bool isAvailable(const Worker &worker, MonotonicTime now) const;
@@ -242,6 +246,7 @@
     void noteStart(const GraphId &graph);
     void proposeStarts(MonotonicTime now);
     void stopUnknownRun(const WorkerId &id, const Worker &worker, const ListedRun &listed);
+    void recordAnswerTime(MonotonicTime sent);
 
     /// Why a run counts as ended although no list showed its end.
     enum class EndReason {
@@ -271,6 +276,7 @@
     MonotonicTime inheritedLeasesExpireAt_; // all leases of earlier leaders have expired by then
     Fleet fleet_;
     WorkerHealth health_;
+    AnswerTimeout answerTimeout_; // of all workers: mostly it is this VM that is slow
     std::map<WorkerId, Worker> workers_;
     // Invariant: each run is in its worker's `runs` and takes up room in fleet_.
     std::map<TaskRef, Run> runs_;
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -13,6 +13,11 @@
 
 /// A worker without runs and without a heartbeat for this long is removed.
 constexpr Milliseconds silentWorkerTimeout {60'000};
+/// A worker that has not answered this VM yet gets leases with this many holds.
+constexpr std::uint32_t maxFirstLeases = 2;
+/// Unanswered holds in a row after which a worker gets no new tasks. They follow one another at
+/// short intervals, and a few may be lost on their way.
+constexpr std::uint32_t minHoldsToSuspect = 3;
 /// Unanswered holds in a row that show that a worker is unreachable. One may be lost on its way.
 constexpr std::uint32_t minUnansweredHolds = 2;
 
@@ -179,13 +184,16 @@
     if (!worker.hasIncarnation) {
         return now - tickingSince_ >= parts_.times.unresponsiveTimeout;
     }
+    const MonotonicTime since = std::max(worker.unansweredSince, tickingSince_);
     return worker.unansweredHoldCount >= minUnansweredHolds
-        && worker.earlierUnansweredHoldSentAt >= tickingSince_;
+        && worker.earlierUnansweredHoldSentAt >= tickingSince_
+        && now - since >= parts_.times.unresponsiveTimeout;
 }
 
 bool RunSupervisor::isAvailable(const Worker &worker, MonotonicTime now) const
 {
-    return worker.hasIncarnation && !worker.leavesAt && worker.unansweredHoldCount == 0
+    return worker.hasIncarnation && !worker.leavesAt
+        && worker.unansweredHoldCount < minHoldsToSuspect
         && worker.answeredHoldSentAt != MonotonicTime {}
     && now - worker.answeredHoldSentAt <= parts_.times.unresponsiveTimeout
         && now >= worker.backoffUntil;
@@ -213,6 +221,17 @@
     fleet_.setWorker(entry);
 }
 
+/// Returns whether the worker may get leases. One that does not answer or is leaving gets none, so
+/// that the leases of its runs expire.
+bool RunSupervisor::canGetLease(const Worker &worker, MonotonicTime now) const
+{
+    const bool wasHeld = worker.answeredHoldSentAt != MonotonicTime {};
+    const bool isAnswering = wasHeld
+        ? now - worker.answeredHoldSentAt <= parts_.times.leaseGrantTimeout
+        : worker.unansweredHoldCount < maxFirstLeases;
+    return isAnswering && !worker.leavesAt;
+}
+
 /// Returns a lease deadline on the worker's clock and extends `leasesExpireAt`. Returns nothing
 /// before the first clock reading.
 std::optional<WorkerTime> RunSupervisor::grantLease(Worker &worker, MonotonicTime now)
