Take-over: a run that never began gives its room back in a tenth of a second

Callers saw nothing start for two seconds after a whole start: the new leader had adopted the placements of the last one, whose start orders had been lost or delayed, and their room was taken.

Cause: such a run is stopped and counts as over when a list that was requested after the answer to the stop lacks it. The hold that follows the first list was sent before that answer and waits a second for an end, and so does the next one; nothing ends on the worker meanwhile.

While a stop is to show whether a run began, a hold waits for 100 ms, and once the stop is answered the next list is requested at once. What proves that a run is over stays as it was. Runs that were listed keep the long wait: their end cuts it short.

Evidence: the test failed before with waits of 1000 ms in place of 100 and 0.

--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -17,6 +17,30 @@
 
 } // namespace
 
+/// Returns how long the worker may delay its answer. A run that never began takes up room until a
+/// list that was requested after the answer to its stop lacks it, and no end cuts such a wait
+/// short.
+Milliseconds RunSupervisor::holdWaitOf(const Worker &worker) const
+{
+    // The first answer must not be delayed: it shows which adopted runs are running, and it makes
+    // the worker available for placement.
+    if (worker.answeredHoldSentAt == MonotonicTime {} || worker.unansweredHoldCount > 0) {
+        return Milliseconds {0};
+    }
+    Milliseconds wait = parts_.times.holdWaitTimeout;
+    for (const TaskRef &task : worker.runs) {
+        const Run &run = runs_.at(task);
+        if (run.stage != Stage::Stopping || run.wasListed || run.isEnding) {
+            continue;
+        }
+        if (run.confirmedAt && *run.confirmedAt >= worker.answeredHoldSentAt) {
+            return Milliseconds {0};
+        }
+        wait = run.confirmedAt ? wait : parts_.times.settlingHoldWaitTimeout;
+    }
+    return wait;
+}
+
 void RunSupervisor::hold(const WorkerId &id, Worker &worker, MonotonicTime now)
 {
     const bool hasDeparted = worker.leavesAt && now >= *worker.leavesAt && worker.runs.empty();
@@ -38,11 +62,7 @@
     if (worker.unansweredHoldCount < maxUnansweredHolds && !worker.leavesAt) {
         order.deadline = grantLease(worker, now);
     }
-    // The first answer must not be delayed: it shows which adopted runs are running, and it makes
-    // the worker available for placement.
-    order.wait = worker.answeredHoldSentAt == MonotonicTime {} || worker.unansweredHoldCount > 0
-        ? Milliseconds {0}
-        : parts_.times.holdWaitTimeout;
+    order.wait = holdWaitOf(worker);
     worker.isHoldPending = true;
     const Milliseconds timeout = order.wait + parts_.times.holdAnswerTimeout;
     parts_.link.hold(endpointOf(worker), order, timeout,
@@ -176,6 +196,7 @@
         stopUnknownRun(id, worker, listed);
         return;
     }
+    run->wasListed = true;
     if (run->stage == Stage::Adopted || run->stage == Stage::Starting) {
         run->stage = Stage::Running;
         run->confirmedAt = parts_.clock();
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -32,6 +32,8 @@
     Milliseconds leaseDuration {6'000};
     /// How long a worker delays its answer to a hold while it has no end to list.
     Milliseconds holdWaitTimeout {1'000};
+    /// The same while a stop is to show whether a run began: its answer takes about as long.
+    Milliseconds settlingHoldWaitTimeout {100};
     /// Added to the wait, for the network and a slow worker.
     Milliseconds holdAnswerTimeout {800};
     /// An order without an answer after this time is sent again.
@@ -146,6 +148,7 @@
         std::uint32_t sentOrderCount = 0; // starts that the worker may have carried out
         bool isOrderPending = false; // an order waits for its answer
         bool isEnding = false; // its end is being recorded
+        bool wasListed = false; // its worker has listed it as running
         std::uint32_t percent = 0; // progress as last listed
         MonotonicTime lastProgressAt {}; // when `percent` last changed
     };
@@ -202,6 +205,7 @@
     [[nodiscard]] bool shouldRun(const TaskRef &task, const Run &run) const;
     [[nodiscard]] bool isGangBroken(const Graph &graph, const TaskRef &task, const Run &run) const;
 
+    [[nodiscard]] Milliseconds holdWaitOf(const Worker &worker) const;
     void hold(const WorkerId &id, Worker &worker, MonotonicTime now);
     void onHoldFailed(const WorkerId &id, Worker &worker, HoldError error, MonotonicTime sent,
         Milliseconds timeout);
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -92,6 +92,7 @@
             run.confirmedAt.reset();
             run.deadline.reset();
             run.isOrderPending = false;
+            run.wasListed = false;
         }
     }
     if (worker.hasIncarnation) {
--- a/test/runsupervisor.cpp
+++ b/test/runsupervisor.cpp
@@ -361,6 +361,46 @@
     }
 }
 
+TEST_CASE("a run that never began does not hold its room while holds wait for an end")
+{
+    constexpr Milliseconds brief {100};
+    const Milliseconds regularWait = SupervisorTimes {}.holdWaitTimeout;
+    Fixture fixture {true};
+    const auto wait = [&fixture]() {
+        return fixture.link.holds.back().order.wait;
+    };
+    fixture.receiveHeartbeat();
+    SECTION("the list that proves its end is requested at once")
+    {
+        fixture.link.answerHold({});
+        CHECK(wait() <= brief); // the stop is not confirmed yet
+        fixture.tick(Milliseconds {100});
+        REQUIRE(fixture.link.stops.size() == 1);
+        fixture.link.stops[0].done(StopOutcome::Answered);
+        pause();
+        fixture.link.answerHold({});
+        CHECK(wait() == Milliseconds {0});
+        pause();
+        fixture.link.answerHold({});
+        CHECK(fixture.phase() == TaskPhase::Waiting);
+        CHECK(wait() == regularWait);
+    }
+    SECTION("a run that is listed ends with a list that returns early by itself")
+    {
+        fixture.link.answerHold(Fixture::runningReport());
+        CHECK(wait() == regularWait);
+        fixture.state.apply(CancelGraph {GraphId {"g"}, wall}, LogIndex {++fixture.index});
+        fixture.tick(Milliseconds {100});
+        REQUIRE(fixture.link.stops.size() == 1);
+        fixture.link.answerHold(Fixture::runningReport());
+        CHECK(wait() == regularWait);
+        fixture.link.stops[0].done(StopOutcome::Answered);
+        pause();
+        fixture.link.answerHold(Fixture::runningReport());
+        CHECK(wait() == regularWait);
+    }
+}
+
 TEST_CASE("an answer from an unknown process replaces the known one")
 {
     Fixture fixture;
