Fleet: workers stay open while calls to most workers fail at once

Callers had jobs accepted and never begun: with nine calls of ten refused or reset by every worker, from a final fault on, 16 to 22 of 125 to 128 requests were served from 12 s after the return of the VMs on, and 1 to 5 of 48 workers were open with 330 jobs waiting.

Cause: one failed hold closes a worker until a hold is answered again. The next hold is sent at once and fails with the same probability, so a worker that answers each tenth call is open for an instant each 1.5 s, mostly between two rounds.

A hold that fails within 100 ms shows that the worker can be reached. If such failures are those of more than a quarter of the workers, they do not tell which worker to avoid, and each that has answered within unresponsiveTimeout stays open. Silent and unconnected workers are closed as before, and so are few failing ones.

Evidence: the test failed before (the worker was closed).

--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -84,6 +84,7 @@
     worker.isGone = worker.isGone
         || (worker.leavesAt && error == HoldError::NotConnected
             && now - sent < parts_.times.maxRefusalDelay);
+    worker.failsFast = error == HoldError::Unanswered && now - sent < parts_.times.maxRefusalDelay;
     ++worker.unansweredHoldCount;
     worker.unansweredHoldSentAt = sent;
     worker.nextHoldAt = now + holdRetryInterval;
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -166,6 +166,7 @@
         MonotonicTime nextHoldAt {};
         std::uint32_t unansweredHoldCount = 0; // in a row
         bool isAnswering = false; // the newest completed hold was answered in time
+        bool failsFast = false; // the newest hold failed at once: the worker can be reached
         MonotonicTime unansweredHoldSentAt {}; // send time of the newest unanswered hold
         EndNumber lastRecordedEnd; // ends up to this number are in the journal
         std::set<TaskRef> runs;
@@ -194,6 +195,7 @@
     [[nodiscard]] Milliseconds maxLeaseLifetime() const;
     [[nodiscard]] bool isUnreachable(const Worker &worker, MonotonicTime now) const;
     [[nodiscard]] bool isAvailable(const Worker &worker, MonotonicTime now) const;
+    void countFastFailures();
     [[nodiscard]] std::optional<WorkerTime> grantLease(Worker &worker, MonotonicTime now);
 
     void sweep(MonotonicTime now);
@@ -257,6 +259,7 @@
     Fleet fleet_;
     WorkerHealth health_;
     std::map<WorkerId, Worker> workers_;
+    std::size_t fastFailureCount_ = 0; // workers whose holds fail at once, as of the last sweep
     // Invariant: each run is in its worker's `runs` and takes up room in fleet_.
     std::map<TaskRef, Run> runs_;
     // Invariant: contains every run that needs an order; may contain runs that no longer do.
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/// If holds of more than one worker in this many fail at once, most workers do, and each that has
+/// answered lately gets tasks: an order that is sent again may get through.
+constexpr std::size_t minWorkersPerFastFailure = 4;
 /// A worker without runs and without a heartbeat for this long is removed.
 constexpr Milliseconds silentWorkerTimeout {60'000};
 
@@ -104,6 +107,7 @@
     worker.answeredHoldSentAt = {};
     worker.unansweredHoldCount = 0;
     worker.isAnswering = false;
+    worker.failsFast = false;
     worker.lastRecordedEnd = {};
     worker.isHoldPending = false;
     worker.nextHoldAt = now;
@@ -166,12 +170,23 @@
 
 bool RunSupervisor::isAvailable(const Worker &worker, MonotonicTime now) const
 {
-    return worker.hasIncarnation && !worker.leavesAt && worker.unansweredHoldCount == 0
+    const bool areFailuresCommon =
+        fastFailureCount_ * minWorkersPerFastFailure > workers_.size() && worker.failsFast;
+    return worker.hasIncarnation && !worker.leavesAt
+        && (worker.unansweredHoldCount == 0 || areFailuresCommon)
         && worker.answeredHoldSentAt != MonotonicTime {}
     && now - worker.answeredHoldSentAt <= parts_.times.unresponsiveTimeout
         && now >= worker.backoffUntil;
 }
 
+void RunSupervisor::countFastFailures()
+{
+    fastFailureCount_ = static_cast<std::size_t>(std::count_if(
+        workers_.begin(), workers_.end(), [](const std::pair<const WorkerId, Worker> &entry) {
+            return entry.second.unansweredHoldCount > 0 && entry.second.failsFast;
+        }));
+}
+
 bool RunSupervisor::isOpen(const Worker &worker, MonotonicTime now) const
 {
     const WorkerHeartbeat &heartbeat = worker.heartbeat;
--- a/test/runsupervisor.cpp
+++ b/test/runsupervisor.cpp
@@ -8,6 +8,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <thread>
 
 namespace crocusmill
@@ -401,6 +402,48 @@
     }
 }
 
+TEST_CASE("workers stay open when the calls to most of them fail at once")
+{
+    Fixture fixture;
+    const auto isOpen = [&fixture]() {
+        return fixture.supervisor->load(monotonicNow()).openWorkers == 1;
+    };
+    fixture.receiveHeartbeat();
+    fixture.link.answerHold({});
+    fixture.tick(Milliseconds {0});
+    REQUIRE(isOpen());
+    SECTION("a call that fails at once shows that the worker can be reached")
+    {
+        fixture.link.failHold(HoldError::Unanswered);
+        fixture.tick(Milliseconds {0});
+        CHECK(isOpen());
+    }
+    SECTION("a worker that cannot be connected gets no tasks")
+    {
+        fixture.link.failHold(HoldError::NotConnected);
+        fixture.tick(Milliseconds {0});
+        CHECK_FALSE(isOpen());
+    }
+    SECTION("few failing workers get no tasks")
+    {
+        for (const char *id : {"v1", "v2", "v3"}) {
+            WorkerHeartbeat heartbeat;
+            heartbeat.id = WorkerId {id};
+            heartbeat.incarnation = firstIncarnation;
+            heartbeat.sequence = 1;
+            fixture.supervisor->onHeartbeat(heartbeat, monotonicNow());
+        }
+        const auto hold = std::find_if(fixture.link.holds.rbegin(), fixture.link.holds.rend(),
+            [](const FakeWorkerLink::HoldCall &call) { return call.worker.id == worker; });
+        HoldOutcome outcome;
+        outcome.error = HoldError::Unanswered;
+        const WorkerLink::HoldHandler done = hold->done;
+        done(outcome);
+        fixture.tick(Milliseconds {0});
+        CHECK_FALSE(isOpen());
+    }
+}
+
 TEST_CASE("an answer from an unknown process replaces the known one")
 {
     Fixture fixture;
