Orders: the backoff after a refusal stays short while most workers refuse

Callers waited while nearly all workers were left alone: a worker that refuses nine starts of ten gets nothing for 0.5, 1, 2 and then 4 s, doubled with each refusal until a start succeeds, and 1 of 48 workers was open with 330 jobs waiting.

The backoff keeps a run from a worker that refuses, while others do not. When more than a quarter of the workers refused their last start, it only postpones the next try; it is 250 ms then.

Evidence: the test failed before (closed for 1 s after the second refusal).

--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -14,9 +14,21 @@
 /// A worker that refuses a start gets no new tasks for this long, doubled with each refusal.
 constexpr Milliseconds initialRefusalBackoff {250};
 constexpr Milliseconds maxRefusalBackoff {4'000};
+/// If more than one worker in this many refused its last start, most workers refuse.
+constexpr std::size_t minWorkersPerRefusing = 4;
 
 } // namespace
 
+/// Refusals of most workers do not show which one to avoid, so the backoff stays short then.
+Milliseconds RunSupervisor::refusalBackoffOf(const Worker &worker) const
+{
+    if (refusingCount_ * minWorkersPerRefusing > workers_.size()) {
+        return initialRefusalBackoff;
+    }
+    return std::min(
+        initialRefusalBackoff * (1U << std::min(worker.refusalCount, 5U)), maxRefusalBackoff);
+}
+
 void RunSupervisor::sendStart(const TaskRef &task, Run &run, MonotonicTime now)
 {
     Worker &worker = findOrAddWorker(run.placement.worker);
@@ -84,9 +96,7 @@
         return;
     case StartOutcome::Refused:
         ++worker.refusalCount;
-        worker.backoffUntil = now
-            + std::min(initialRefusalBackoff * (1U << std::min(worker.refusalCount, 5U)),
-                maxRefusalBackoff);
+        worker.backoffUntil = now + refusalBackoffOf(worker);
         fleet_.setOpen(id, isOpen(worker, now));
         logInfo("run.refused",
             {{"task", asText(task)}, {"worker", id.value()},
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -203,7 +203,7 @@
 
 void RunSupervisor::sweep(MonotonicTime now)
 {
-    countFastFailures();
+    countFailingWorkers();
     std::vector<WorkerId> ids;
     ids.reserve(workers_.size());
     for (const std::pair<const WorkerId, Worker> &entry : workers_) {
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -195,7 +195,8 @@
     [[nodiscard]] Milliseconds maxLeaseLifetime() const;
     [[nodiscard]] bool isUnreachable(const Worker &worker, MonotonicTime now) const;
     [[nodiscard]] bool isAvailable(const Worker &worker, MonotonicTime now) const;
-    void countFastFailures();
+    void countFailingWorkers();
+    [[nodiscard]] Milliseconds refusalBackoffOf(const Worker &worker) const;
     [[nodiscard]] std::optional<WorkerTime> grantLease(Worker &worker, MonotonicTime now);
 
     void sweep(MonotonicTime now);
@@ -259,7 +260,9 @@
     Fleet fleet_;
     WorkerHealth health_;
     std::map<WorkerId, Worker> workers_;
-    std::size_t fastFailureCount_ = 0; // workers whose holds fail at once, as of the last sweep
+    // As of the last sweep:
+    std::size_t fastFailureCount_ = 0; // workers whose holds fail at once
+    std::size_t refusingCount_ = 0; // workers that refused their last start
     // Invariant: each run is in its worker's `runs` and takes up room in fleet_.
     std::map<TaskRef, Run> runs_;
     // Invariant: contains every run that needs an order; may contain runs that no longer do.
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -179,12 +179,15 @@
         && now >= worker.backoffUntil;
 }
 
-void RunSupervisor::countFastFailures()
+void RunSupervisor::countFailingWorkers()
 {
-    fastFailureCount_ = static_cast<std::size_t>(std::count_if(
-        workers_.begin(), workers_.end(), [](const std::pair<const WorkerId, Worker> &entry) {
-            return entry.second.unansweredHoldCount > 0 && entry.second.failsFast;
-        }));
+    fastFailureCount_ = 0;
+    refusingCount_ = 0;
+    for (const std::pair<const WorkerId, Worker> &entry : workers_) {
+        const Worker &worker = entry.second;
+        fastFailureCount_ += worker.unansweredHoldCount > 0 && worker.failsFast ? 1 : 0;
+        refusingCount_ += worker.refusalCount > 0 ? 1 : 0;
+    }
 }
 
 bool RunSupervisor::isOpen(const Worker &worker, MonotonicTime now) const
--- a/test/runsupervisor.cpp
+++ b/test/runsupervisor.cpp
@@ -444,6 +444,43 @@
     }
 }
 
+TEST_CASE("a worker that refuses is tried again soon if most workers refuse")
+{
+    static constexpr Milliseconds firstBackoff {250};
+    Fixture fixture;
+    const auto refuse = [&fixture](std::uint32_t run) {
+        fixture.supervisor->reserve({task, RunNumber {run}, worker, firstIncarnation}, stepOf(1));
+        fixture.recordPlacement(run);
+        fixture.supervisor->start(task, std::nullopt, monotonicNow());
+        fixture.link.answerStart(StartOutcome::Refused);
+        fixture.tick(Milliseconds {0});
+    };
+    const auto isOpenLater = [&fixture]() {
+        return fixture.supervisor->load(monotonicNow() + firstBackoff).openWorkers == 1;
+    };
+    fixture.receiveHeartbeat();
+    fixture.link.answerHold({});
+    SECTION("most refuse")
+    {
+        refuse(1);
+        refuse(2);
+        CHECK(isOpenLater());
+    }
+    SECTION("one of four refuses")
+    {
+        for (const char *id : {"v1", "v2", "v3"}) {
+            WorkerHeartbeat heartbeat;
+            heartbeat.id = WorkerId {id};
+            heartbeat.incarnation = firstIncarnation;
+            heartbeat.sequence = 1;
+            fixture.supervisor->onHeartbeat(heartbeat, monotonicNow());
+        }
+        refuse(1);
+        refuse(2);
+        CHECK_FALSE(isOpenLater());
+    }
+}
+
 TEST_CASE("an answer from an unknown process replaces the known one")
 {
     Fixture fixture;
