Orders: starts that fail at once are sent as long as those that time out

Callers had jobs accepted that began seconds late: with nine calls of ten reset by every worker from a final fault on, 150 runs at a time had neither begun nor ended, and took up room.

Cause: a run is settled by a stop after six starts without an outcome. Unanswered ones take 2.7 s, but six that are reset take 0.4 s. The stop and the list that proves the run's absence have to get through as well, which takes longer than the next starts would.

The sixth start is now followed by others until the time has passed that six unanswered ones take. No more calls are made, as a stop was repeated at the same interval. The same run and deadline are sent, so a start still takes effect once.

Evidence: the test failed before (no seventh start).

--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -51,6 +51,7 @@
     order.resume = graph->find(task)->saved;
     order.ticket = run.ticket;
     run.isOrderPending = true;
+    run.firstOrderAt = run.sentOrderCount == 0 ? now : run.firstOrderAt;
     ++run.sentOrderCount;
     parts_.link.start(endpointOf(worker), order, parts_.times.orderTimeout,
         [self = shared_from_this(), task, number = order.run, id = run.placement.worker,
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -12,7 +12,8 @@
 namespace
 {
 
-/// After this many starts without an outcome, a stop settles the run.
+/// After this many starts without an outcome, and the time that they take if none is answered, a
+/// stop settles the run.
 constexpr std::uint32_t maxStartOrders = 6;
 
 } // namespace
@@ -292,7 +293,9 @@
         return;
     }
     if (run.stage == Stage::Starting) {
-        if (run.sentOrderCount >= maxStartOrders) {
+        // A start that fails at once may get through soon, sooner than a stop and a list after it.
+        const bool isOverdue = now - run.firstOrderAt >= maxStartOrders * parts_.times.orderTimeout;
+        if (run.sentOrderCount >= maxStartOrders && isOverdue) {
             setStage(run, Stage::Stopping);
         } else {
             sendStart(task, run, now);
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -146,6 +146,7 @@
         std::optional<MonotonicTime> confirmedAt;
         MonotonicTime nextOrderAt {};
         std::uint32_t sentOrderCount = 0; // starts that the worker may have carried out
+        MonotonicTime firstOrderAt {}; // when the first start was sent
         bool isOrderPending = false; // an order waits for its answer
         bool isEnding = false; // its end is being recorded
         bool wasListed = false; // its worker has listed it as running
--- a/test/runsupervisor.cpp
+++ b/test/runsupervisor.cpp
@@ -444,6 +444,23 @@
     }
 }
 
+TEST_CASE("starts that fail at once are sent for as long as those that time out")
+{
+    constexpr std::size_t orderCount = 12;
+    Fixture fixture;
+    fixture.startRun();
+    for (std::size_t sent = 1; sent < orderCount; ++sent) {
+        fixture.link.answerStart(StartOutcome::Unanswered);
+        fixture.tick(SupervisorTimes {}.orderRetryInterval);
+        REQUIRE(fixture.link.starts.size() == sent + 1);
+    }
+    CHECK(fixture.link.stops.empty());
+    fixture.link.answerStart(StartOutcome::Unanswered);
+    fixture.tick(SupervisorTimes {}.orderTimeout * 6);
+    CHECK(fixture.link.starts.size() == orderCount);
+    CHECK(fixture.link.stops.size() == 1);
+}
+
 TEST_CASE("a worker that refuses is tried again soon if most workers refuse")
 {
     static constexpr Milliseconds firstBackoff {250};
