--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -12,8 +12,9 @@
 namespace
 {
 
-/// After this many starts without an outcome, a stop settles the run.
-constexpr std::uint32_t maxStartOrders = 8;
+/// After this many starts without an outcome, and the time that they take if none is answered, a
+/// stop settles the run.
+constexpr std::uint32_t maxStartOrders = 6;
 constexpr Milliseconds refusalRecordInterval {1'000}; // between log records about one worker
 
 } // namespace
@@ -211,6 +212,7 @@
 
 void RunSupervisor::sweep(MonotonicTime now)
 {
+    countFailingWorkers();
     std::vector<WorkerId> ids;
     ids.reserve(workers_.size());
     for (const std::pair<const WorkerId, Worker> &entry : workers_) {
@@ -299,7 +301,10 @@
         return;
     }
     if (run.stage == Stage::Starting) {
-        if (run.sentOrderCount >= maxStartOrders) {
+        // A start that fails at once may get through soon, sooner than a stop and a list after it.
+        const bool isOverdue =
+            now - run.firstOrderAt >= maxStartOrders * parts_.times.answerTimeout.maxTimeout;
+        if (run.sentOrderCount >= maxStartOrders && isOverdue) {
             setStage(run, Stage::Stopping);
         } else {
             sendStart(task, run, now);
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -35,6 +35,8 @@
     Milliseconds leaseDuration {6'000};
     /// How long a worker delays its answer to a hold while it has no end to list.
     Milliseconds holdWaitTimeout {1'000};
+    /// The same while a stop is to show whether a run began: its answer takes about as long.
+    Milliseconds settlingHoldWaitTimeout {100};
     /// Timeouts of calls to workers, without the wait of a hold.
     AnswerTimeoutSettings answerTimeout;
     Milliseconds orderRetryInterval {20};
@@ -61,6 +63,8 @@
     Milliseconds maxTickGap {500};
     /// A call that ends later than this after its timeout says nothing about its worker.
     Milliseconds maxCallbackDelay {200};
+    /// A call that fails within this time was rejected; one without an answer fails later.
+    Milliseconds fastFailureTimeout {100};
     /// A leaving worker without runs is removed after this time.
     Milliseconds departureTimeout {1'000};
 };
@@ -158,8 +162,10 @@
         MonotonicTime nextOrderAt {};
         std::uint32_t sentOrderCount = 0; // starts that the worker may have carried out
         std::uint32_t unansweredStopCount = 0; // in a row
+        MonotonicTime firstOrderAt {}; // when the first start was sent
         bool isOrderPending = false; // an order waits for its answer
         bool isEnding = false; // its end is being recorded
+        bool wasListed = false; // its worker has listed it as running
         std::uint32_t percent = 0; // progress as last listed
         MonotonicTime lastProgressAt {}; // when `percent` last changed
     };
@@ -178,6 +184,7 @@
         std::uint32_t unansweredHoldCount = 0; // in a row
         bool isAnswering = false; // the newest completed hold was answered in time
         MonotonicTime unansweredSince {}; // send time of the first of them; valid from one in a row
+        bool failsFast = false; // the newest hold failed at once: the worker can be reached
         MonotonicTime unansweredHoldSentAt {}; // send time of the newest unanswered hold
         MonotonicTime earlierUnansweredHoldSentAt {}; // of the one before; valid from two in a row
         EndNumber lastRecordedEnd; // ends up to this number are in the journal
@@ -210,6 +217,8 @@
     [[nodiscard]] Milliseconds maxLeaseLifetime() const;
     [[nodiscard]] bool isUnreachable(const Worker &worker, MonotonicTime now) const;
     [[nodiscard]] bool isAvailable(const Worker &worker, MonotonicTime now) const;
+    void countFailingWorkers();
+    [[nodiscard]] Milliseconds refusalBackoffOf(const Worker &worker) const;
     [[nodiscard]] std::optional<WorkerTime> grantLease(Worker &worker, MonotonicTime now);
 
     void sweep(MonotonicTime now);
@@ -222,6 +231,7 @@
     [[nodiscard]] bool shouldRun(const TaskRef &task, const Run &run) const;
     [[nodiscard]] bool isGangBroken(const Graph &graph, const TaskRef &task, const Run &run) const;
 
+    [[nodiscard]] Milliseconds holdWaitOf(const Worker &worker) const;
     void hold(const WorkerId &id, Worker &worker, MonotonicTime now);
     void onHoldFailed(const WorkerId &id, Worker &worker, HoldError error, MonotonicTime sent,
         Milliseconds timeout);
@@ -278,6 +288,9 @@
     WorkerHealth health_;
     AnswerTimeout answerTimeout_; // of all workers: mostly it is this VM that is slow
     std::map<WorkerId, Worker> workers_;
+    // As of the last sweep:
+    std::size_t fastFailureCount_ = 0; // workers whose holds fail at once
+    std::size_t refusingCount_ = 0; // workers that refused their last start
     // Invariant: each run is in its worker's `runs` and takes up room in fleet_.
     std::map<TaskRef, Run> runs_;
     // Invariant: contains every run that needs an order; may contain runs that no longer do.
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/// If holds of more than one worker in this many fail at once, most workers do, and each that has
+/// answered lately gets tasks: an order that is sent again may get through.
+constexpr std::size_t minWorkersPerFastFailure = 4;
 /// A worker without runs and without a heartbeat for this long is removed.
 constexpr Milliseconds silentWorkerTimeout {60'000};
 /// A worker that has not answered this VM yet gets leases with this many holds.
@@ -114,6 +117,7 @@
             run.confirmedAt.reset();
             run.deadline.reset();
             run.isOrderPending = false;
+            run.wasListed = false;
         }
     }
     if (worker.hasIncarnation) {
@@ -125,6 +129,7 @@
     worker.answeredHoldSentAt = {};
     worker.unansweredHoldCount = 0;
     worker.isAnswering = false;
+    worker.failsFast = false;
     worker.lastRecordedEnd = {};
     worker.isRecordingEnds = false;
     worker.isHoldPending = false;
@@ -192,13 +197,26 @@
 
 bool RunSupervisor::isAvailable(const Worker &worker, MonotonicTime now) const
 {
+    const bool areFailuresCommon =
+        fastFailureCount_ * minWorkersPerFastFailure > workers_.size() && worker.failsFast;
     return worker.hasIncarnation && !worker.leavesAt
-        && worker.unansweredHoldCount < minHoldsToSuspect
+        && (worker.unansweredHoldCount < minHoldsToSuspect || areFailuresCommon)
         && worker.answeredHoldSentAt != MonotonicTime {}
     && now - worker.answeredHoldSentAt <= parts_.times.unresponsiveTimeout
         && now >= worker.backoffUntil;
 }
 
+void RunSupervisor::countFailingWorkers()
+{
+    fastFailureCount_ = 0;
+    refusingCount_ = 0;
+    for (const std::pair<const WorkerId, Worker> &entry : workers_) {
+        const Worker &worker = entry.second;
+        fastFailureCount_ += worker.unansweredHoldCount > 0 && worker.failsFast ? 1 : 0;
+        refusingCount_ += worker.refusalCount > 0 ? 1 : 0;
+    }
+}
+
 bool RunSupervisor::isOpen(const Worker &worker, MonotonicTime now) const
 {
     const WorkerHeartbeat &heartbeat = worker.heartbeat;
--- a/test/runsupervisor.cpp
+++ b/test/runsupervisor.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <thread>
 
 namespace crocusmill
