--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -162,9 +162,8 @@
     for (const ListedEnd &end : report.ended) {
         last = std::max(last, end.number);
         listed.insert(end.task);
-        // Further ends are listed again, after the record of the earlier ones.
-        if (end.number <= worker.lastRecordedEnd || worker.isRecordingEnds) {
-            continue;
+        if (end.number <= worker.lastRecordedEnd) {
+            continue; // recorded, but not acknowledged yet
         }
         Run *run = findRun(end.task, end.run);
         if (run != nullptr && run->placement.worker == id) {
@@ -194,15 +193,11 @@
         }
     }
     recordInferredEnds(missing, EndReason::NotListed);
-    worker.isRecordingEnds = worker.isRecordingEnds || !ended.empty();
-    if (worker.isRecordingEnds) {
-        // The worker delays no answers until its ends are acknowledged, so the next hold waits for
-        // their record. A slow record must not let the lease expire.
-        worker.nextHoldAt = parts_.clock() + parts_.times.holdWaitTimeout;
-    }
     if (ended.empty()) {
         hold(id, worker, parts_.clock());
     } else {
+        // The next hold acknowledges these ends, so it waits until they are recorded.
+        worker.isHoldPending = true;
         unproposedEnds_.push_back({id, worker.heartbeat.incarnation, std::move(ended), last});
         parts_.onChange();
     }
@@ -346,9 +341,8 @@
     if (it == workers_.end() || it->second.heartbeat.incarnation != list.incarnation) {
         return;
     }
-    it->second.isRecordingEnds = false;
+    it->second.isHoldPending = false;
     it->second.lastRecordedEnd = std::max(it->second.lastRecordedEnd, list.last);
-    it->second.nextHoldAt = parts_.clock();
     hold(list.worker, it->second, parts_.clock());
 }
 
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -179,7 +179,7 @@
         // Invariant: every lease that any leader gave this incarnation has expired by then.
         MonotonicTime leasesExpireAt {};
         MonotonicTime answeredHoldSentAt {}; // send time of the newest answered hold
-        bool isHoldPending = false; // a hold waits for its answer
+        bool isHoldPending = false; // a hold waits for its answer, or its ends for their record
         MonotonicTime nextHoldAt {};
         std::uint32_t unansweredHoldCount = 0; // in a row
         bool isAnswering = false; // the newest completed hold was answered in time
@@ -188,7 +188,6 @@
         MonotonicTime unansweredHoldSentAt {}; // send time of the newest unanswered hold
         MonotonicTime earlierUnansweredHoldSentAt {}; // of the one before; valid from two in a row
         EndNumber lastRecordedEnd; // ends up to this number are in the journal
-        bool isRecordingEnds = false; // ends after lastRecordedEnd wait for their record
         std::set<TaskRef> runs;
         std::optional<MonotonicTime> leavesAt; // set while it leaves: when it may be removed
         bool isGone = false; // it leaves and refuses connections
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -131,7 +131,6 @@
     worker.isAnswering = false;
     worker.failsFast = false;
     worker.lastRecordedEnd = {};
-    worker.isRecordingEnds = false;
     worker.isHoldPending = false;
     worker.nextHoldAt = now;
     worker.leavesAt.reset();
@@ -283,8 +282,7 @@
         recordInferredEnds(lost, worker.isGone ? EndReason::WorkerLeft : EndReason::LeasePassed);
     }
     const bool hasDeparted = worker.leavesAt && now >= *worker.leavesAt;
-    const bool isIdle = worker.runs.empty() && !worker.isHoldPending && !worker.isRecordingEnds;
-    const bool shouldForget = worker.hasIncarnation && isIdle
+    const bool shouldForget = worker.hasIncarnation && worker.runs.empty() && !worker.isHoldPending
         && (hasDeparted || now - worker.lastHeartbeatAt > silentWorkerTimeout);
     if (shouldForget) {
         parts_.link.forget(endpointOf(worker));
