Supervisor: a farewell that names no process holds until the next heartbeat

Cause: such a farewell was taken for that of the present process, and later heartbeats of the same process changed nothing. Now its next heartbeat opens the worker again. A farewell that names the process holds as before.

Evidence: the new case of workerevidence failed before in the variant without an incarnation (2 checks: the worker stayed closed, and got no lease) and passes now.

--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -95,7 +95,8 @@
     /// have reported.
     void adoptPlacements(MonotonicTime now);
     void onHeartbeat(const WorkerHeartbeat &heartbeat, MonotonicTime now);
-    /// The worker announced that it leaves. An empty incarnation stands for the current one.
+    /// The worker announced that it leaves. An empty incarnation stands for the current one, until
+    /// that one's next heartbeat.
     void onWorkerLeaving(const WorkerId &worker, const Incarnation &incarnation, MonotonicTime now);
     void tick(MonotonicTime now, WallTime wall);
     /// Stops sending orders and ignores outstanding answers. The callbacks of those answers keep
@@ -190,6 +191,7 @@
         EndNumber lastRecordedEnd; // ends up to this number are in the journal
         std::set<TaskRef> runs;
         std::optional<MonotonicTime> leavesAt; // set while it leaves: when it may be removed
+        bool isFarewellNamed = false; // with leavesAt: it is known which process leaves
         bool isGone = false; // it leaves and refuses connections
         std::uint32_t refusalCount = 0; // orders refused in a row
         MonotonicTime backoffUntil {};
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -79,6 +79,11 @@
             {{"worker", heartbeat.id.value()}, {"draining", heartbeat.draining},
                 {"remaining_ms", static_cast<std::uint64_t>(heartbeat.remaining.count())}});
     }
+    if (worker.leavesAt && !worker.isFarewellNamed && !worker.isGone) {
+        // The farewell may have been that of an earlier process, and late.
+        logInfo("worker.stays", {{"worker", heartbeat.id.value()}});
+        worker.leavesAt.reset();
+    }
     worker.heartbeat = heartbeat;
     worker.lastHeartbeatAt = now;
     if (heartbeat.clock) {
@@ -161,6 +166,7 @@
         && !it->second.leavesAt) {
         logWarning("worker.gone", {{"worker", id.value()}, {"incarnation", incarnation.value()}});
         it->second.leavesAt = now_;
+        it->second.isFarewellNamed = true;
         updateFleet(it->second, now_);
     }
     recordInferredEnds(lost, EndReason::IncarnationGone);
@@ -178,6 +184,7 @@
     logInfo("worker.leaves",
         {{"worker", worker.value()}, {"runs", std::uint64_t {it->second.runs.size()}}});
     it->second.leavesAt = now + parts_.times.departureTimeout;
+    it->second.isFarewellNamed = !incarnation.value().empty();
     updateFleet(it->second, now);
 }
 
--- a/test/workerevidence.cpp
+++ b/test/workerevidence.cpp
@@ -116,4 +116,20 @@
     CHECK(fixture.phase() == TaskPhase::Waiting);
 }
 
+TEST_CASE("a worker stays if its process is heard after a farewell that names none")
+{
+    Fixture fixture;
+    fixture.startRun();
+    fixture.link.answerStart(StartOutcome::Started);
+    fixture.link.answerHold(Fixture::runningReport());
+    const Incarnation named = GENERATE(Incarnation {}, firstIncarnation);
+    fixture.supervisor->onWorkerLeaving(worker, named, monotonicNow());
+    CHECK_FALSE(fixture.supervisor->fleet().find(worker)->isOpen);
+    fixture.receiveHeartbeat(firstIncarnation, 2);
+    fixture.link.answerHold(Fixture::runningReport());
+    const bool hasLeft = !named.value().empty();
+    CHECK(fixture.supervisor->fleet().find(worker)->isOpen != hasLeft);
+    CHECK(fixture.link.holds.back().order.deadline.has_value() != hasLeft);
+}
+
 } // namespace crocusmill
