Workers: leases for those that answer, growing pauses between orders, a bounded wait for slow ones

It is denied now after two unanswered holds in a row and without a late answer. Test in workerevidence. - Starts that fail at once were repeated every 20 ms for 2.4 s. The pause is now a quarter of the time since the first order, from 20 to 80 ms. - A hold that waits got 200 ms for its answer where it had 800; a worker slow by itself would have been suspected again and again.

Graph's queries moved to src/state/graph.cpp.

--- a/include/crocusmill/graphregistry.h
+++ b/include/crocusmill/graphregistry.h
@@ -32,6 +32,9 @@
 {
     std::vector<GraphTask> tasks;
     std::vector<RunNumber> failed; // of a gang: runs in which a member failed, each once
+
+    /// Returns whether all tasks have succeeded.
+    [[nodiscard]] bool hasSucceeded() const;
 };
 
 struct GraphOccurrence
--- a/src/services/jobcensus.cpp
+++ b/src/services/jobcensus.cpp
@@ -92,7 +92,7 @@
         JobCounts &counts = census.queues[graph.spec.queue];
         ++counts.open;
         ++census.total.open;
-        if (graph.spec.recurrence.times > 0 || begunJobs.contains(id)) {
+        if (graph.spec.recurrence.times > 0 || graph.started || begunJobs.contains(id)) {
             continue;
         }
         const JobProgress progress = progressOf(graph);
--- a/src/services/jobcensus.h
+++ b/src/services/jobcensus.h
@@ -42,7 +42,8 @@
     Milliseconds oldestAge {0};
 };
 
-/// `begunJobs`: the jobs of which a worker has reported the start or the end of a run.
+/// `begunJobs`: the jobs of which a worker has reported the start or the end of a run to this
+/// leader, also if the start is not recorded yet.
 [[nodiscard]] JobCensus countJobs(
     const GraphRegistry &graphs, const std::set<GraphId> &begunJobs, WallTime now);
 
--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -12,10 +12,8 @@
 namespace
 {
 
-/// Pause after an unanswered hold, doubled with each further one.
-constexpr Milliseconds initialHoldRetryInterval {20};
-constexpr Milliseconds maxHoldRetryInterval {160};
-constexpr std::uint32_t maxDoublings = 3;
+/// Pause after an unanswered hold. The next sweep after it sends the next hold.
+constexpr Milliseconds holdRetryInterval {80};
 
 } // namespace
 
@@ -64,9 +62,11 @@
     }
     order.wait = holdWaitOf(worker);
     worker.isHoldPending = true;
-    // Twice the timeout of an order: an answer with long lists takes longer.
-    const Milliseconds timeout =
-        order.wait + answerTimeout_.timeout(worker.unansweredHoldCount / 2) * 2;
+    // A hold that waits is repeated by quicker ones, so a worker that is slow to answer is not
+    // suspected at once. Lists take longer to answer than orders.
+    const Milliseconds timeout = order.wait > Milliseconds {0}
+        ? order.wait + parts_.times.answerTimeout.maxTimeout
+        : answerTimeout_.timeout(worker.unansweredHoldCount / 2) * 2;
     parts_.link.hold(endpointOf(worker), order, timeout,
         [self = shared_from_this(), id, incarnation = worker.heartbeat.incarnation, now, timeout](
             const HoldOutcome &outcome) {
@@ -84,7 +84,7 @@
         return;
     }
     if (error == HoldError::NotSent) {
-        worker.nextHoldAt = now + maxHoldRetryInterval;
+        worker.nextHoldAt = now + holdRetryInterval;
         return;
     }
     worker.isGone = worker.isGone || (worker.leavesAt && error == HoldError::Refused);
@@ -95,10 +95,7 @@
     if (worker.unansweredHoldCount == 1) {
         worker.unansweredSince = sent;
     }
-    worker.nextHoldAt = now
-        + std::min(initialHoldRetryInterval
-                * (1U << std::min(worker.unansweredHoldCount - 1, maxDoublings)),
-            maxHoldRetryInterval);
+    worker.nextHoldAt = now + holdRetryInterval;
     if (worker.unansweredHoldCount == 1) {
         logWarning(
             "worker.unanswered", {{"worker", id.value()}, {"fenced", error == HoldError::Fenced}});
@@ -132,7 +129,7 @@
         return;
     }
     if (outcome.error == HoldError::OtherIncarnation) {
-        worker.nextHoldAt = now + maxHoldRetryInterval;
+        worker.nextHoldAt = now + holdRetryInterval;
         onIncarnationGone(id, incarnation);
         return;
     }
--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -36,7 +36,7 @@
     const bool sameProcess =
         worker.hasIncarnation && worker.heartbeat.incarnation == run.placement.incarnation;
     if (graph == nullptr || !sameProcess) {
-        run.nextOrderAt = now + parts_.times.orderRetryInterval;
+        run.nextOrderAt = now + parts_.times.maxOrderPause;
         return;
     }
     if (!run.deadline) {
@@ -51,7 +51,7 @@
     order.resume = graph->find(task)->saved;
     order.ticket = run.ticket;
     run.isOrderPending = true;
-    run.firstOrderAt = run.sentOrderCount == 0 ? now : run.firstOrderAt;
+    run.firstOrderAt = run.firstOrderAt == MonotonicTime {} ? now : run.firstOrderAt;
     const Milliseconds timeout = answerTimeout_.timeout(run.sentOrderCount);
     ++run.sentOrderCount;
     recoverySteps_.reach(RecoveryStep::OrderSent, now);
@@ -90,7 +90,7 @@
     const MonotonicTime now = parts_.clock();
     Worker &worker = findOrAddWorker(id);
     run->isOrderPending = false;
-    run->nextOrderAt = now + parts_.times.orderRetryInterval;
+    run->nextOrderAt = now + orderPauseOf(*run, now);
     if (run->stage != Stage::Starting) {
         return; // a list has reported the run meanwhile, or it is to be stopped
     }
@@ -142,7 +142,7 @@
 {
     Worker &worker = findOrAddWorker(run.placement.worker);
     if (!worker.hasIncarnation || worker.heartbeat.incarnation != run.placement.incarnation) {
-        run.nextOrderAt = now + parts_.times.orderRetryInterval;
+        run.nextOrderAt = now + parts_.times.maxOrderPause;
         return;
     }
     run.isOrderPending = true;
@@ -166,7 +166,7 @@
     }
     const MonotonicTime now = parts_.clock();
     run->isOrderPending = false;
-    run->nextOrderAt = now + parts_.times.orderRetryInterval;
+    run->nextOrderAt = now + orderPauseOf(*run, now);
     run->unansweredStopCount =
         outcome == StopOutcome::Unanswered ? run->unansweredStopCount + 1 : 0;
     if (outcome == StopOutcome::Answered) {
@@ -187,6 +187,15 @@
         answerTimeout_.timeout(), [](StopOutcome /*outcome*/) {});
 }
 
+Milliseconds RunSupervisor::orderPauseOf(const Run &run, MonotonicTime now) const
+{
+    constexpr int pausesPerOrderTime = 4;
+    const Milliseconds sinceFirstOrder =
+        std::chrono::duration_cast<Milliseconds>(now - run.firstOrderAt);
+    return std::clamp(sinceFirstOrder / pausesPerOrderTime, parts_.times.minOrderPause,
+        parts_.times.maxOrderPause);
+}
+
 void RunSupervisor::recordAnswerTime(MonotonicTime sent)
 {
     answerTimeout_.recordAnswer(std::chrono::duration_cast<Microseconds>(parts_.clock() - sent));
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -39,12 +39,14 @@
     Milliseconds settlingHoldWaitTimeout {100};
     /// Timeouts of calls to workers, without the wait of a hold.
     AnswerTimeoutSettings answerTimeout;
-    Milliseconds orderRetryInterval {20};
+    /// Pauses between orders of a run grow with the time since its first order.
+    Milliseconds minOrderPause {20};
+    Milliseconds maxOrderPause {80};
     /// First starts of jobs that are reported within this time share a record.
     Milliseconds startRecordInterval {100};
     /// A worker that has not answered for this long gets no new tasks.
     Milliseconds unresponsiveTimeout {2'600};
-    /// A worker that has not answered for this long gets no more leases.
+    /// A worker that has not answered for this long, and several holds, gets no more leases.
     Milliseconds leaseGrantTimeout {2'000};
     /// Added to the end of a lease before the runs that it covered count as ended.
     Milliseconds leaseMargin {100};
@@ -258,6 +260,7 @@
     void proposeStarts(MonotonicTime now);
     void stopUnknownRun(const WorkerId &id, const Worker &worker, const ListedRun &listed);
     void recordAnswerTime(MonotonicTime sent);
+    [[nodiscard]] Milliseconds orderPauseOf(const Run &run, MonotonicTime now) const;
 
     /// Why a run counts as ended although no list showed its end.
     enum class EndReason {
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -16,8 +16,8 @@
 constexpr std::size_t minWorkersPerFastFailure = 4;
 /// A worker without runs and without a heartbeat for this long is removed.
 constexpr Milliseconds silentWorkerTimeout {60'000};
-/// A worker that has not answered this VM yet gets leases with this many holds.
-constexpr std::uint32_t maxFirstLeases = 2;
+/// After this many unanswered holds in a row a worker gets leases only if it has answered lately.
+constexpr std::uint32_t minHoldsToDenyLease = 2;
 /// Unanswered holds in a row after which a worker gets no new tasks. They follow one another at
 /// short intervals, and a few may be lost on their way.
 constexpr std::uint32_t minHoldsToSuspect = 3;
@@ -121,6 +121,7 @@
             run.stage = Stage::Adopted;
             run.confirmedAt.reset();
             run.deadline.reset();
+            run.firstOrderAt = {};
             run.isOrderPending = false;
             run.wasListed = false;
         }
@@ -249,11 +250,10 @@
 /// that the leases of its runs expire.
 bool RunSupervisor::canGetLease(const Worker &worker, MonotonicTime now) const
 {
-    const bool wasHeld = worker.answeredHoldSentAt != MonotonicTime {};
-    const bool isAnswering = wasHeld
-        ? now - worker.answeredHoldSentAt <= parts_.times.leaseGrantTimeout
-        : worker.unansweredHoldCount < maxFirstLeases;
-    return isAnswering && !worker.leavesAt;
+    const bool hasAnsweredLately = worker.answeredHoldSentAt != MonotonicTime {}
+        && now - worker.answeredHoldSentAt <= parts_.times.leaseGrantTimeout;
+    return !worker.leavesAt
+        && (worker.unansweredHoldCount < minHoldsToDenyLease || hasAnsweredLately);
 }
 
 /// Returns a lease deadline on the worker's clock and extends `leasesExpireAt`. Returns nothing
--- /dev/null
+++ b/src/state/graph.cpp
@@ -0,0 +1,77 @@
+/// Queries on one recorded graph job.
+
+#include <crocusmill/graphregistry.h>
+
+#include <algorithm>
+
+namespace crocusmill
+{
+
+std::string asText(const TaskRef &task)
+{
+    return task.graph.value() + "." + std::to_string(task.occurrence) + "."
+        + std::to_string(task.step) + "." + std::to_string(task.task);
+}
+
+bool GraphStep::hasSucceeded() const
+{
+    return std::all_of(tasks.begin(), tasks.end(),
+        [](const GraphTask &task) { return task.phase == TaskPhase::Succeeded; });
+}
+
+const GraphTask *Graph::find(const TaskRef &ref) const
+{
+    if (ref.occurrence >= occurrences.size()
+        || ref.step >= occurrences[ref.occurrence].steps.size()) {
+        return nullptr;
+    }
+    const GraphStep &step = occurrences[ref.occurrence].steps[ref.step];
+    return ref.task < step.tasks.size() ? &step.tasks[ref.task] : nullptr;
+}
+
+bool Graph::isReady(std::uint32_t occurrence, std::uint32_t step) const
+{
+    const std::vector<std::uint32_t> &after = spec.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
+        return occurrences[occurrence].steps[earlier].hasSucceeded();
+    });
+}
+
+std::set<WorkerId> Graph::failedWorkers(std::uint32_t occurrence, std::uint32_t step) const
+{
+    std::set<WorkerId> workers;
+    for (const GraphTask &task : occurrences[occurrence].steps[step].tasks) {
+        const bool failedLast = !task.failed.empty() && task.failed.back() == task.run;
+        if (task.phase == TaskPhase::Waiting && failedLast) {
+            workers.insert(task.worker);
+        }
+    }
+    return workers;
+}
+
+RunNumber Graph::nextRun(const TaskRef &ref) const
+{
+    const GraphStep &step = occurrences[ref.occurrence].steps[ref.step];
+    if (!spec.steps[ref.step].gang) {
+        return RunNumber {step.tasks[ref.task].run.value() + 1};
+    }
+    RunNumber highest;
+    for (const GraphTask &task : step.tasks) {
+        highest = std::max(highest, task.run);
+    }
+    return RunNumber {highest.value() + 1};
+}
+
+WallTime Graph::dueAt(std::uint32_t occurrence) const
+{
+    return spec.recurrence.times == 0
+        ? acceptedAt
+        : spec.recurrence.first + spec.recurrence.interval * occurrence;
+}
+
+bool Graph::isDue(std::uint32_t occurrence, WallTime now) const
+{
+    return spec.recurrence.times == 0 || dueAt(occurrence) <= now;
+}
+
+} // namespace crocusmill
--- a/src/state/graphregistry.cpp
+++ b/src/state/graphregistry.cpp
@@ -10,12 +10,6 @@
 namespace
 {
 
-bool allSucceeded(const GraphStep &step)
-{
-    return std::all_of(step.tasks.begin(), step.tasks.end(),
-        [](const GraphTask &task) { return task.phase == TaskPhase::Succeeded; });
-}
-
 GraphOccurrence makeOccurrence(const GraphSpec &spec)
 {
     GraphOccurrence occurrence;
@@ -47,67 +41,6 @@
 
 } // namespace
 
-std::string asText(const TaskRef &task)
-{
-    return task.graph.value() + "." + std::to_string(task.occurrence) + "."
-        + std::to_string(task.step) + "." + std::to_string(task.task);
-}
-
-const GraphTask *Graph::find(const TaskRef &ref) const
-{
-    if (ref.occurrence >= occurrences.size()
-        || ref.step >= occurrences[ref.occurrence].steps.size()) {
-        return nullptr;
-    }
-    const GraphStep &step = occurrences[ref.occurrence].steps[ref.step];
-    return ref.task < step.tasks.size() ? &step.tasks[ref.task] : nullptr;
-}
-
-bool Graph::isReady(std::uint32_t occurrence, std::uint32_t step) const
-{
-    const std::vector<std::uint32_t> &after = spec.steps[step].after;
-    return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
-        return allSucceeded(occurrences[occurrence].steps[earlier]);
-    });
-}
-
-std::set<WorkerId> Graph::failedWorkers(std::uint32_t occurrence, std::uint32_t step) const
-{
-    std::set<WorkerId> workers;
-    for (const GraphTask &task : occurrences[occurrence].steps[step].tasks) {
-        const bool failedLast = !task.failed.empty() && task.failed.back() == task.run;
-        if (task.phase == TaskPhase::Waiting && failedLast) {
-            workers.insert(task.worker);
-        }
-    }
-    return workers;
-}
-
-RunNumber Graph::nextRun(const TaskRef &ref) const
-{
-    const GraphStep &step = occurrences[ref.occurrence].steps[ref.step];
-    if (!spec.steps[ref.step].gang) {
-        return RunNumber {step.tasks[ref.task].run.value() + 1};
-    }
-    RunNumber highest;
-    for (const GraphTask &task : step.tasks) {
-        highest = std::max(highest, task.run);
-    }
-    return RunNumber {highest.value() + 1};
-}
-
-WallTime Graph::dueAt(std::uint32_t occurrence) const
-{
-    return spec.recurrence.times == 0
-        ? acceptedAt
-        : spec.recurrence.first + spec.recurrence.interval * occurrence;
-}
-
-bool Graph::isDue(std::uint32_t occurrence, WallTime now) const
-{
-    return spec.recurrence.times == 0 || dueAt(occurrence) <= now;
-}
-
 bool GraphRegistry::submit(const SubmitGraph &command)
 {
     if (graphs_.contains(command.spec.id)) {
@@ -284,7 +217,9 @@
         return;
     }
     for (const GraphOccurrence &occurrence : graph.occurrences) {
-        if (!std::all_of(occurrence.steps.begin(), occurrence.steps.end(), allSucceeded)) {
+        const bool hasSucceeded = std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
+            [](const GraphStep &step) { return step.hasSucceeded(); });
+        if (!hasSucceeded) {
             return;
         }
     }
--- a/test/workerevidence.cpp
+++ b/test/workerevidence.cpp
@@ -132,4 +132,22 @@
     CHECK(fixture.link.holds.back().order.deadline.has_value() != hasLeft);
 }
 
+TEST_CASE("a worker that answers gets leases however long ago its last answer was")
+{
+    Fixture fixture;
+    fixture.startRun();
+    fixture.link.answerStart(StartOutcome::Started);
+    fixture.link.answerHold(Fixture::runningReport()); // the next hold waits for its answer
+    fixture.link.answerHold(Fixture::runningReport());
+    fixture.tick(Milliseconds {0});
+    const std::size_t holds = fixture.link.holds.size();
+    fixture.link.answerHold(Fixture::endedReport(RunEnd::Succeeded));
+    fixture.tickUntil(Milliseconds {3'000}); // records the end late
+    REQUIRE(fixture.link.holds.size() > holds);
+    CHECK(fixture.link.holds.back().order.deadline.has_value());
+    fixture.link.answerHold({});
+    fixture.tickUntil(Milliseconds {6'000});
+    CHECK(fixture.link.holds.back().order.deadline.has_value());
+}
+
 } // namespace crocusmill
