--- a/test/fakes/supervised.h
+++ b/test/fakes/supervised.h
@@ -40,7 +40,7 @@
                         return;
                     }
                     if (isJournalSlow) {
-                        heldProposals.push_back([this, command, done]() {
+                        heldProposals.emplace_back([this, command, done]() {
                             done(state.apply(command, LogIndex {++index}));
                         });
                         return;
