Clocks: a jump of the time of day does not remove ended jobs any more

Callers saw 410 for jobs that had just ended. Cause: the record that removes ended work named a time of day, taken from the leader's clock; a clock 20 minutes ahead put it behind every end, also those of departures. Change: ForgetEndedUpTo names the last records to remove; each replica notes the newest ends by its own steady clock and a leader proposes the newest note older than the retention. The process's time of day follows the system's at a bounded rate, so that due times and urgency do not jump either. ForgetEnded is still applied from older journals.

--- a/include/crocusmill/commands.h
+++ b/include/crocusmill/commands.h
@@ -146,13 +146,32 @@
     EntryEpoch owner;
 };
 
-/// Removes the records of work and jobs that ended before `before`.
+/// Removes the records of work and jobs that ended before `before`. Only in journals of earlier
+/// versions: a time of day that jumped removed records that had just ended.
 struct ForgetEnded
 {
     static constexpr const char *kind = "forget_ended";
     WallTime before;
 };
 
+/// Removes, in the order of ending, the records of work and jobs up to the named ones, and the
+/// named departures. Names that are not among the ended ones have no effect.
+struct ForgetEndedUpTo
+{
+    static constexpr const char *kind = "forget_ended_up_to";
+    std::optional<WorkId> work;
+    std::optional<JobId> job;
+    std::optional<GraphId> graph;
+    /// When `graph` ended: tells it from a later graph with the same id.
+    WallTime graphEndedAt;
+    std::vector<NoteLeaving> departures;
+
+    [[nodiscard]] bool isEmpty() const
+    {
+        return !work && !job && !graph && departures.empty();
+    }
+};
+
 /// Starts or ends an operator's drain: a drained upstream gets no new work.
 struct DrainUpstream
 {
@@ -232,7 +251,7 @@
 using Command = std::variant<TryEnvironment, PromoteEnvironment, AdmitWork, StartWork, EndAttempt,
     FinishWork, RevokeWork, AdoptWork, ForgetEnded, SubmitJob, PlaceTasks, EndTask, CancelJob,
     QuarantineWorker, DrainUpstream, DrainWorker, InstallCatalog, SubmitGraph, PlaceRuns, EndRuns,
-    CancelGraph, NoteLeaving, NoteStarts>;
+    CancelGraph, NoteLeaving, NoteStarts, ForgetEndedUpTo>;
 
 enum class StateError {
     None = 0,
--- a/include/crocusmill/graphregistry.h
+++ b/include/crocusmill/graphregistry.h
@@ -86,6 +86,11 @@
     /// Removes graphs that ended before `before` and have no placed task, in the order of ending,
     /// up to the first that must stay.
     void forget(WallTime before);
+    /// Like forget(), for the graphs that ended up to `last`. No effect if no graph of this id
+    /// ended at `endedAt`.
+    void forgetUpTo(const GraphId &last, WallTime endedAt);
+    /// Returns the graph that ended last and was not removed, or null.
+    [[nodiscard]] const Graph *newestEnded() const;
 
     [[nodiscard]] const Graph *find(const GraphId &id) const;
     [[nodiscard]] const std::set<GraphId> &openGraphs() const;
@@ -116,6 +121,8 @@
     void close(Graph &graph, GraphState state, WallTime at);
     void updateIndices(const Graph &graph);
     void recordChange(const GraphId &id);
+    [[nodiscard]] bool canRemoveOldestEnded() const;
+    void removeOldestEnded();
 
     std::map<GraphId, CopyOnWrite<Graph>> graphs_;
     // Invariant: contains the ids of the open graphs.
--- a/include/crocusmill/statemachine.h
+++ b/include/crocusmill/statemachine.h
@@ -153,6 +153,8 @@
     [[nodiscard]] bool isLeaving(const WorkerId &worker, const Incarnation &incarnation) const;
     [[nodiscard]] std::uint64_t reservedCores(
         const EnvironmentName &environment, const TeamName &team) const;
+    /// Returns the command that removes all that has ended and all that has left by now.
+    [[nodiscard]] ForgetEndedUpTo newestEnds() const;
 
     /// Returns an image of the state. Copies pointers to records, not records, so it is fast.
     [[nodiscard]] StateImage image() const;
@@ -171,6 +173,7 @@
     ApplyReply applyCommand(const RevokeWork &command);
     ApplyReply applyCommand(const AdoptWork &command);
     ApplyReply applyCommand(const ForgetEnded &command);
+    ApplyReply applyCommand(const ForgetEndedUpTo &command);
     ApplyReply applyCommand(const SubmitJob &command);
     ApplyReply applyCommand(const PlaceTasks &command);
     ApplyReply applyCommand(const EndTask &command);
@@ -191,7 +194,10 @@
     void endWork(Work &work, WorkState state, WallTime at);
     void removeKey(const Work &work);
     void forgetWork(WallTime before);
+    void forgetWorkUpTo(const WorkId &last);
+    void removeOldestEndedWork();
     void forgetJobs(WallTime before);
+    void forgetJobsUpTo(const JobId &last);
     /// Sets the state of a task and updates the job's counts and waitingJobs_.
     void setTaskState(Job &job, TaskRecord &task, TaskState state);
     void endJob(Job &job, WallTime at);
--- a/src/net/clock.h
+++ b/src/net/clock.h
@@ -27,10 +27,9 @@
         : static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(to - from).count());
 }
 
-/// For stored records, which outlive a VM.
-[[nodiscard]] inline WallTime wallTimeNow()
-{
-    return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now());
-}
+/// For stored records, which outlive a VM, and for due times, which clients state in it. Follows
+/// the system's time of day at a bounded rate (slewedclock.h): it does not jump while this process
+/// runs. Any thread may call it.
+[[nodiscard]] WallTime wallTimeNow();
 
 } // namespace crocusmill
--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -11,6 +11,8 @@
 #include "src/services/reports.h"
 #include "src/services/workrecovery.h"
 
+#include <crocusmill/retention.h>
+
 #include <algorithm>
 
 namespace crocusmill
@@ -20,7 +22,6 @@
 {
 
 constexpr Milliseconds sweepInterval {200};
-constexpr Milliseconds forgetEndedInterval {10'000};
 /// Longest wait of a step for a placement decision when no event triggers one.
 constexpr Milliseconds dispatchInterval {25};
 
@@ -33,6 +34,8 @@
         , settings_(settings)
         , metrics_(metrics)
         , callsWorkers_(callsWorkers)
+        , retention_(settings.state ? settings.state->endedWorkRetention
+                                    : StateSettings {}.endedWorkRetention)
         , sweepTimer_(control)
         , dispatchTimer_(control)
     {
@@ -328,6 +331,7 @@
                         {"acknowledged_ms",
                             static_cast<std::uint64_t>(consensus.timeSinceQuorumAck().count())}});
             }
+            noteEnds();
             if (journal_->isLeading()) {
                 refreshLeadership();
                 sweep();
@@ -375,16 +379,23 @@
         proposeAll(leadership_->leases.endAttemptsOfGoneUpstreams(
             leadership_->directory.aliveUpstreams(), journal_->state(), now));
         recovery_->step();
-        if (now >= leadership_->nextForgetAt) {
-            leadership_->nextForgetAt = now + forgetEndedInterval;
-            proposeForgetEnded();
+        // A proposal without an outcome needs no repetition, as the next one covers its ends.
+        const std::optional<ForgetEndedUpTo> expired = retention_.takeExpired(now);
+        if (expired && !expired->isEmpty()) {
+            logInfo("journal.ends_forgotten",
+                {{"job", expired->graph.value_or(GraphId {}).value()},
+                    {"departures", std::uint64_t {expired->departures.size()}},
+                    {"term", leadership_->term.value()}});
+            proposeAll({*expired});
         }
     }
 
-    void proposeForgetEnded()
+    void noteEnds()
     {
-        const WallTime before = wallTimeNow() - settings_.state->endedWorkRetention;
-        proposeAll({ForgetEnded {before}});
+        const MonotonicTime now = monotonicNow();
+        if (retention_.isDue(now)) {
+            retention_.note(journal_->state().newestEnds(), now);
+        }
     }
 
     asio::io_context &control_;
@@ -393,6 +404,7 @@
     bool callsWorkers_;
     Journal *journal_ = nullptr;
     std::unique_ptr<Leadership> leadership_; // null while this VM does not lead
+    RetentionHistory retention_;
     bool isLeaseLapsed_ = false; // this VM leads the term, but its lease has expired
     std::unique_ptr<DispatchCallHandler> dispatch_;
     std::unique_ptr<WorkRecovery> recovery_;
--- a/src/services/leadership.h
+++ b/src/services/leadership.h
@@ -45,7 +45,6 @@
     LeaseTable leases;
     Cell cell;
     MonotonicTime graceEndsAt;
-    MonotonicTime nextForgetAt {};
     EntryRecords entries;
     /// When an entry first asked whether an attempt still runs.
     std::map<AttemptId, MonotonicTime> firstAskedAt;
--- a/src/state/graphregistry.cpp
+++ b/src/state/graphregistry.cpp
@@ -295,19 +295,41 @@
 
 void GraphRegistry::forget(WallTime before)
 {
-    while (!endedGraphs_.empty()) {
-        const auto it = graphs_.find(endedGraphs_.front());
-        if (it->second->endedAt >= before || hasTask(*it->second, TaskPhase::Placed)) {
-            return;
-        }
-        const auto entry = revisionByGraph_.find(it->first);
-        graphByRevision_.erase(entry->second);
-        revisionByGraph_.erase(entry);
-        graphs_.erase(it);
-        endedGraphs_.pop_front();
+    while (canRemoveOldestEnded() && find(endedGraphs_.front())->endedAt < before) {
+        removeOldestEnded();
+    }
+}
+
+void GraphRegistry::forgetUpTo(const GraphId &last, WallTime endedAt)
+{
+    const auto isLast = [this, &last, endedAt]() {
+        const Graph *graph = find(last);
+        return graph != nullptr && graph->state != GraphState::Open && graph->endedAt == endedAt;
+    };
+    while (isLast() && canRemoveOldestEnded()) {
+        removeOldestEnded();
     }
 }
 
+const Graph *GraphRegistry::newestEnded() const
+{
+    return endedGraphs_.empty() ? nullptr : find(endedGraphs_.back());
+}
+
+bool GraphRegistry::canRemoveOldestEnded() const
+{
+    return !endedGraphs_.empty() && !hasTask(*find(endedGraphs_.front()), TaskPhase::Placed);
+}
+
+void GraphRegistry::removeOldestEnded()
+{
+    const auto entry = revisionByGraph_.find(endedGraphs_.front());
+    graphByRevision_.erase(entry->second);
+    revisionByGraph_.erase(entry);
+    graphs_.erase(endedGraphs_.front());
+    endedGraphs_.pop_front();
+}
+
 const Graph *GraphRegistry::find(const GraphId &id) const
 {
     const auto it = graphs_.find(id);
--- a/src/state/joblist.cpp
+++ b/src/state/joblist.cpp
@@ -211,6 +211,18 @@
     }
 }
 
+void StateMachine::forgetJobsUpTo(const JobId &last)
+{
+    const auto lastJob = std::find(endedJobs_.begin(), endedJobs_.end(), last);
+    if (lastJob == endedJobs_.end()) {
+        return;
+    }
+    for (auto it = endedJobs_.begin(); it != std::next(lastJob); ++it) {
+        jobs_.erase(*it);
+    }
+    endedJobs_.erase(endedJobs_.begin(), std::next(lastJob));
+}
+
 void StateMachine::rebuildJobIndices()
 {
     std::map<LogIndex, JobId> ended;
--- a/src/state/workledger.cpp
+++ b/src/state/workledger.cpp
@@ -226,23 +226,79 @@
     return {};
 }
 
+ApplyReply StateMachine::applyCommand(const ForgetEndedUpTo &command)
+{
+    if (command.work) {
+        forgetWorkUpTo(*command.work);
+    }
+    if (command.job) {
+        forgetJobsUpTo(*command.job);
+    }
+    if (command.graph) {
+        graphs_.forgetUpTo(*command.graph, command.graphEndedAt);
+    }
+    for (const NoteLeaving &departure : command.departures) {
+        const auto it = leavingWorkers_.find(departure.worker);
+        if (it != leavingWorkers_.end() && it->second.incarnation == departure.incarnation) {
+            leavingWorkers_.erase(it);
+        }
+    }
+    return {};
+}
+
+ForgetEndedUpTo StateMachine::newestEnds() const
+{
+    ForgetEndedUpTo newest;
+    if (!endedWork_.empty()) {
+        newest.work = endedWork_.back();
+    }
+    if (!endedJobs_.empty()) {
+        newest.job = endedJobs_.back();
+    }
+    if (const Graph *graph = graphs_.newestEnded()) {
+        newest.graph = graph->spec.id;
+        newest.graphEndedAt = graph->endedAt;
+    }
+    for (const std::pair<const WorkerId, NoteLeaving> &entry : leavingWorkers_) {
+        newest.departures.push_back(entry.second);
+    }
+    return newest;
+}
+
 void StateMachine::forgetWork(WallTime before)
 {
     while (!endedWork_.empty()) {
-        const auto it = work_.find(endedWork_.front());
-        if (it != work_.end()) {
-            const Work &work = *it->second;
-            if (work.endedAt >= before) {
-                break;
-            }
-            removeKey(work);
-            for (const crocusmill::Attempt &attempt : work.attempts) {
-                workByAttempt_.erase(attempt.id);
-            }
-            work_.erase(it);
+        const Work *work = findWork(endedWork_.front());
+        if (work != nullptr && work->endedAt >= before) {
+            return;
+        }
+        removeOldestEndedWork();
+    }
+}
+
+void StateMachine::forgetWorkUpTo(const WorkId &last)
+{
+    const Work *lastWork = findWork(last);
+    if (lastWork == nullptr || !hasEnded(*lastWork)) {
+        return;
+    }
+    while (!endedWork_.empty() && findWork(last) != nullptr) {
+        removeOldestEndedWork();
+    }
+}
+
+void StateMachine::removeOldestEndedWork()
+{
+    const auto it = work_.find(endedWork_.front());
+    if (it != work_.end()) {
+        const Work &work = *it->second;
+        removeKey(work);
+        for (const crocusmill::Attempt &attempt : work.attempts) {
+            workByAttempt_.erase(attempt.id);
         }
-        endedWork_.pop_front();
+        work_.erase(it);
     }
+    endedWork_.pop_front();
 }
 
 void StateMachine::removeKey(const Work &work)
--- a/src/wire/commandjson.h
+++ b/src/wire/commandjson.h
@@ -35,6 +35,7 @@
 BOOST_DESCRIBE_STRUCT(RevokeWork, (), (work, cancel, at))
 BOOST_DESCRIBE_STRUCT(AdoptWork, (), (work, owner))
 BOOST_DESCRIBE_STRUCT(ForgetEnded, (), (before))
+BOOST_DESCRIBE_STRUCT(ForgetEndedUpTo, (), (work, job, graph, graphEndedAt, departures))
 BOOST_DESCRIBE_STRUCT(TaskSize, (), (milliCores, memory, accelerators))
 BOOST_DESCRIBE_STRUCT(SubmitJob, (),
     (job, environment, team, jobClass, urgent, tasks, size, expectedRun, command, at))
