Odd entries: rows that cannot be read are left out, and no reader ends the process

If one is about a task of ours, a run that is not listed is not over and later ends are not acknowledged.

--- a/src/cell/graphorder.cpp
+++ b/src/cell/graphorder.cpp
@@ -13,6 +13,8 @@
 /// The result of a job that took longer than this multiple of its objective is of no use to the
 /// client.
 constexpr int maxObjectiveMultiple = 3;
+/// Of a job whose estimate or slack factor is not plausible.
+constexpr double maxObjectiveMs = 1e12;
 
 } // namespace
 
@@ -28,7 +30,8 @@
         finishOffsets.push_back(startOffset + step.estimate);
         criticalPath = std::max(criticalPath, finishOffsets.back());
     }
-    const double scaled = static_cast<double>(criticalPath.count()) * spec.slackFactor;
+    const double scaled =
+        std::min(static_cast<double>(criticalPath.count()) * spec.slackFactor, maxObjectiveMs);
     return Milliseconds {static_cast<std::int64_t>(scaled)} + spec.aim;
 }
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -2,6 +2,8 @@
 
 #include "src/net/httpserver.h"
 
+#include "src/net/log.h"
+
 #include <boost/json.hpp>
 
 #include <sys/socket.h>
@@ -114,6 +116,9 @@
 {
     boost::system::error_code error;
     const Tcp::endpoint endpoint {asio::ip::make_address(address.ip, error), address.port};
+    if (error) {
+        return HttpError::CannotListen;
+    }
     acceptor_.open(endpoint.protocol(), error);
     acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
     acceptor_.bind(endpoint, error);
@@ -259,7 +264,7 @@
         HttpRequest request = parser.release();
         const bool keepAlive = request.keep_alive();
         const unsigned int version = request.version();
-        HttpResponse response = co_await handleWatched(std::move(request));
+        HttpResponse response = co_await handleGuarded(std::move(request));
         response.version(version);
         response.keep_alive(keepAlive && !server_.isStopping_);
         co_return co_await write(std::move(response)) && keepAlive && !server_.isStopping_;
@@ -280,6 +285,25 @@
         }
     }
 
+    /// An exception ends the request, not the process.
+    asio::awaitable<HttpResponse> handleGuarded(HttpRequest request)
+    {
+        const std::string target {request.target()};
+        std::string failure;
+        try {
+            co_return co_await handleWatched(std::move(request));
+        } catch (const std::exception &error) {
+            failure = error.what();
+        }
+        logError("http.handler_failed", {{"target", target}, {"error", failure}});
+        Problem problem;
+        problem.status = http::status::internal_server_error;
+        problem.type = "internal";
+        problem.title = "The request could not be handled";
+        problem.execution = "unknown";
+        co_return problemResponse(problem);
+    }
+
     asio::awaitable<HttpResponse> handleWatched(HttpRequest request)
     {
         if (!server_.handler_.watchesCallers()) {
--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -117,6 +117,14 @@
         worker.clock.recordReading(*outcome.clock, now);
     }
     const Incarnation &answering = outcome.report.incarnation;
+    if (!outcome.error && isNewer(incarnation, answering)) {
+        // The list names no process, or one from before.
+        logWarning("worker.list_outdated",
+            {{"worker", id.value()}, {"incarnation", answering.value()},
+                {"current", incarnation.value()}});
+        onHoldFailed(id, worker, HoldError::Unanswered, sent, timeout);
+        return;
+    }
     if (!outcome.error && answering != incarnation) {
         // A new process answered before its first heartbeat arrived.
         WorkerHeartbeat other = worker.heartbeat;
@@ -176,7 +184,7 @@
         applyListedRun(id, worker, running);
     }
     std::vector<EndedRun> missing;
-    const bool isComplete = report.ended.size() < maxListedEnds;
+    const bool isComplete = report.ended.size() < maxListedEnds && report.unreadableRuns == 0;
     for (const TaskRef &task : worker.runs) {
         Run &run = runs_.at(task);
         const bool isSameIncarnation = run.placement.incarnation == report.incarnation;
--- a/src/services/workerlink.h
+++ b/src/services/workerlink.h
@@ -87,6 +87,10 @@
     Incarnation incarnation;
     std::vector<ListedRun> running;
     std::vector<ListedEnd> ended;
+    /// Rows left out as they name no task of ours, and rows of tasks that cannot be read. With one
+    /// of the latter, a run that is not listed may still be there.
+    std::uint32_t foreignRows = 0;
+    std::uint32_t unreadableRuns = 0;
 };
 
 enum class HoldError {
--- a/test/httpserver.cpp
+++ b/test/httpserver.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <stdexcept>
 #include <thread>
 
 namespace crocusmill
@@ -31,6 +32,9 @@
         HttpRequest request, std::shared_ptr<CallerWatch> watch) override
     {
         sawWatch = sawWatch || watch != nullptr;
+        if (request.target() == "/fails") {
+            throw std::runtime_error {"unexpected"};
+        }
         const bool large = request.target() == "/large";
         co_return jsonResponse(
             http::status::ok, large ? std::string(largeBytes, 'x') : request.body());
@@ -142,6 +146,19 @@
     }
 }
 
+TEST_CASE("an unexpected error in a handler ended the process")
+{
+    for (const bool watches : {true, false}) {
+        Fixture fixture {watches};
+        http::write(fixture.socket, Fixture::request("/fails", ""));
+        const HttpResponse response = fixture.read();
+        CHECK(response.result() == http::status::internal_server_error);
+        CHECK(response.body().find("not_run") == std::string::npos);
+        http::write(fixture.socket, Fixture::request("/", "after"));
+        CHECK(fixture.read().body() == "after");
+    }
+}
+
 TEST_CASE("an invalid request is refused and its connection is closed")
 {
     Fixture fixture {false};
--- a/test/workerevidence.cpp
+++ b/test/workerevidence.cpp
@@ -76,6 +76,40 @@
     CHECK(fixture.supervisor->hasRun(task));
 }
 
+TEST_CASE("a list with rows that cannot be read does not show that a run is over")
+{
+    Fixture fixture;
+    fixture.startRun();
+    fixture.link.answerStart(StartOutcome::Started);
+    fixture.link.answerHold(Fixture::runningReport());
+    pause();
+    HoldReport unreadable;
+    unreadable.unreadableRuns = 1;
+    fixture.link.answerHold(unreadable);
+    CHECK(fixture.phase() == TaskPhase::Placed);
+    pause();
+    HoldReport foreign;
+    foreign.foreignRows = 1;
+    fixture.link.answerHold(foreign);
+    CHECK(fixture.phase() == TaskPhase::Waiting);
+}
+
+TEST_CASE("a list of an earlier process, or of none, does not replace the present one")
+{
+    Fixture fixture;
+    fixture.startRun();
+    fixture.link.answerStart(StartOutcome::Started);
+    fixture.link.answerHold(Fixture::runningReport());
+    const fakes::FakeWorkerLink::HoldHandler done = fixture.link.holds.back().done;
+    HoldOutcome outdated;
+    outdated.report.incarnation = GENERATE(Incarnation {"0"}, Incarnation {"500"});
+    done(outdated);
+    fixture.tickUntil(Milliseconds {500});
+    CHECK(fixture.phase() == TaskPhase::Placed);
+    REQUIRE_FALSE(fixture.link.holds.empty());
+    CHECK(fixture.link.holds.back().worker.incarnation == firstIncarnation);
+}
+
 TEST_CASE("a leaving worker is gone once its host refuses connections")
 {
     Fixture fixture;
