Tickets: queues share the office, gangs keep their room, urgent work keeps headroom

Requests of one queue's gangs took all 19 VMs that send long requests (19.3 s of answering a second), those of another queue got none in 14 s; a gang renewed its tickets up to ten times, as others took the room in the 0.7 s of the answer; half of the VMs stayed free for quick requests that needed 3. Change: queues that wait have equal shares of the VMs for long requests; the VMs kept for quick ones follow their load, between a quarter and a half; a step keeps the room that it renews tickets for; a gang with enough allowed workers asks for more only after 1.5 s. As the backlog then took each free core, less urgent queues leave the cores that more urgent ones usually take within a second, at most 0.35 of the service; every two seconds all steps are tried again, so that nothing waits for an event. Tests: headroom, roomclaims, ticketlanes, dispatcher replay the load against the naive policy. The calls of ticketlanes and ticketbook take the queue and the time of the answer now; no check changed.

--- a/include/crocusmill/fleet.h
+++ b/include/crocusmill/fleet.h
@@ -76,6 +76,10 @@
     /// Reserves capacity for a task that is placed, runs or may still be started, until release().
     void take(const WorkerId &worker, const TaskRef &task, const StepSpec &spec);
     void release(const WorkerId &worker, const TaskRef &task, const StepSpec &spec);
+    /// Like release(), but not a gain: the room is about to be taken again.
+    void withdraw(const WorkerId &worker, const TaskRef &task, const StepSpec &spec);
+    /// Notes a gain of room on the worker.
+    void noteGain(const WorkerId &worker);
 
     /// Chooses workers for as many waiting tasks as fit, for a gang for all tasks or none. Reserves
     /// nothing. Unless the step has rack preferences, it visits only the chosen workers and those
@@ -84,6 +88,9 @@
     /// Like choose(), but only among `workers`.
     [[nodiscard]] std::vector<FleetChoice> chooseAmong(
         const StepDemand &demand, const std::vector<WorkerId> &workers) const;
+    /// Returns how many tasks of the step these workers could run if they were idle.
+    [[nodiscard]] std::uint64_t capacityFor(
+        const StepDemand &demand, const std::vector<WorkerId> &workers) const;
     /// Returns the open workers that could run a task of the step if they were idle, those with the
     /// most free cores first.
     [[nodiscard]] std::vector<WorkerId> eligibleWorkers(const StepDemand &demand) const;
--- a/include/crocusmill/ticketbook.h
+++ b/include/crocusmill/ticketbook.h
@@ -43,7 +43,7 @@
     void recordRequest(const TaskRef &step, const std::vector<WorkerId> &workers);
     /// Records the answer to a request for `workers`. Those not in `allowed` are not allowed.
     void recordAnswer(const TaskRef &step, const std::vector<WorkerId> &workers,
-        const std::vector<AllowedWorker> &allowed, MonotonicTime validUntil);
+        const std::vector<AllowedWorker> &allowed, MonotonicTime now, Milliseconds validity);
     /// Records that a request got no answer. Its workers may be requested again; earlier
     /// permissions stay.
     void recordFailure(const TaskRef &step, const std::vector<WorkerId> &workers);
@@ -52,6 +52,8 @@
 
     /// Returns whether a request for the step has no answer yet.
     [[nodiscard]] bool hasPendingRequest(const TaskRef &step) const;
+    /// Returns when the newest answer for the step came; the earliest time if there was none.
+    [[nodiscard]] MonotonicTime lastAnswerAt(const TaskRef &step) const;
     /// Returns all workers requested for the step.
     [[nodiscard]] const WorkerPermissions &permissionsOf(const TaskRef &step) const;
     [[nodiscard]] bool wasAsked(const TaskRef &step, const WorkerId &worker) const;
@@ -73,6 +75,7 @@
     struct Step
     {
         std::uint32_t pendingRequestCount = 0;
+        MonotonicTime lastAnswerAt {};
         WorkerPermissions workers;
     };
 
--- a/src/cell/fleet.cpp
+++ b/src/cell/fleet.cpp
@@ -165,6 +165,18 @@
 }
 
 void Fleet::release(const WorkerId &worker, const TaskRef &task, const StepSpec &spec)
+{
+    withdraw(worker, task, spec);
+    noteGain(worker);
+    gains_.steps.push_back(stepOf(task));
+}
+
+void Fleet::noteGain(const WorkerId &worker)
+{
+    recordGain(findOrAddEntry(worker), false);
+}
+
+void Fleet::withdraw(const WorkerId &worker, const TaskRef &task, const StepSpec &spec)
 {
     WorkerEntry &entry = findOrAddEntry(worker);
     const TaskSize size = reservationSize(spec);
@@ -178,8 +190,6 @@
     if (it != entry.taskCountPerStep.end() && --it->second == 0) {
         entry.taskCountPerStep.erase(it);
     }
-    recordGain(entry, false);
-    gains_.steps.push_back(stepOf(task));
 }
 
 void Fleet::recordGain(const WorkerEntry &entry, bool isWorkerChange)
@@ -291,6 +301,23 @@
     return chooseFrom(demand, std::move(candidates));
 }
 
+std::uint64_t Fleet::capacityFor(
+    const StepDemand &demand, const std::vector<WorkerId> &workers) const
+{
+    const StepSpec &spec = *demand.spec;
+    std::uint64_t tasks = 0;
+    for (const WorkerId &id : workers) {
+        const FleetWorker *worker = find(id);
+        if (worker == nullptr || !isEligible(*worker, demand)) {
+            continue;
+        }
+        const std::uint32_t fitting =
+            fittingTaskCount(worker->capacity, TaskSize {}, reservationSize(spec));
+        tasks += spec.mostPerWorker > 0 ? std::min(fitting, spec.mostPerWorker) : fitting;
+    }
+    return tasks;
+}
+
 std::vector<FleetChoice> Fleet::chooseFrom(
     const StepDemand &demand, std::vector<Candidate> candidates)
 {
--- a/src/cell/ticketbook.cpp
+++ b/src/cell/ticketbook.cpp
@@ -17,13 +17,14 @@
 }
 
 void TicketCache::recordAnswer(const TaskRef &step, const std::vector<WorkerId> &workers,
-    const std::vector<AllowedWorker> &allowed, MonotonicTime validUntil)
+    const std::vector<AllowedWorker> &allowed, MonotonicTime now, Milliseconds validity)
 {
     const auto it = steps_.find(step);
     if (it == steps_.end()) {
         return; // forget() removed the step meanwhile
     }
     --it->second.pendingRequestCount;
+    it->second.lastAnswerAt = now;
     for (const WorkerId &worker : workers) {
         WorkerPermission &entry = it->second.workers[worker];
         if (std::exchange(entry.isAllowed, false)) {
@@ -31,7 +32,7 @@
         }
     }
     for (const AllowedWorker &worker : allowed) {
-        it->second.workers[worker.worker] = {true, worker.ticket, validUntil};
+        it->second.workers[worker.worker] = {true, worker.ticket, now + validity};
         stepsAllowedOn_[worker.worker].insert(step);
     }
 }
@@ -99,6 +100,12 @@
     return it != steps_.end() && it->second.pendingRequestCount > 0;
 }
 
+MonotonicTime TicketCache::lastAnswerAt(const TaskRef &step) const
+{
+    const auto it = steps_.find(step);
+    return it == steps_.end() ? MonotonicTime {} : it->second.lastAnswerAt;
+}
+
 const WorkerPermission *TicketCache::find(const TaskRef &step, const WorkerId &worker) const
 {
     const auto it = steps_.find(step);
--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -6,6 +6,7 @@
 #include "src/net/log.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace crocusmill
 {
@@ -40,9 +41,30 @@
             }},
         now);
     dispatcher->supervisor_->adoptPlacements(now);
+    dispatcher->noteAdoptedPlacements(now);
     return dispatcher;
 }
 
+/// What runs for the last leader shows how much urgent work there is.
+void Dispatcher::noteAdoptedPlacements(MonotonicTime now)
+{
+    const GraphRegistry &graphs = parts_.journal.state().graphs();
+    for (const GraphId &id : graphs.openGraphs()) {
+        const Graph &graph = *graphs.find(id);
+        std::uint64_t milliCores = 0;
+        for (const GraphOccurrence &occurrence : graph.occurrences) {
+            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+                const std::vector<GraphTask> &tasks = occurrence.steps[step].tasks;
+                const std::ptrdiff_t placedCount = std::count_if(tasks.begin(), tasks.end(),
+                    [](const GraphTask &task) { return task.phase == TaskPhase::Placed; });
+                milliCores += static_cast<std::uint64_t>(placedCount)
+                    * reservationSize(graph.spec.steps[step]).milliCores;
+            }
+        }
+        headroom_.notePlaced(graph.spec.priority, milliCores, now);
+    }
+}
+
 Dispatcher::Dispatcher(const Parts &parts)
     : parts_(parts)
     , ticketClient_(parts.peers, parts.tickets, parts.self)
@@ -115,6 +137,7 @@
     if (now >= nextTicketCleanup_) {
         nextTicketCleanup_ = now + ticketCleanupInterval;
         forgetClosedGraphs();
+        queue_.retryAll(); // patience ends and headroom goes without another event
         supervisor_->forgetClosedJobs();
     }
     reportRound(startedAt, queue_.size());
@@ -147,10 +170,11 @@
     const Graph *graph = parts_.journal.state().graphs().find(id);
     if (graph == nullptr) {
         queue_.remove(id);
+        forgetTickets(id);
         return;
     }
     if (graph->state != GraphState::Open) {
-        tickets_.forget(id);
+        forgetTickets(id);
     }
     const Queue *queue = parts_.journal.state().catalog().find(graph->spec.queue);
     const bool needsTickets = queue != nullptr && queue->tickets;
@@ -208,10 +232,11 @@
 TicketQueueMask Dispatcher::askableQueues(MonotonicTime now) const
 {
     std::uint64_t queues = 0;
+    const TicketQueueMask waitingQueues = queue_.queuesWaitingToAsk();
     for (const std::pair<const QueueName, TicketQueueMask> &entry : ticketQueues_) {
         const Queue *queue = parts_.journal.state().catalog().find(entry.first);
         const bool canAsk = queue != nullptr && queue->tickets
-            && ticketClient_.canAsk(*queue->tickets, minAskedWorkers, now);
+            && ticketClient_.canAsk(termsOf(*queue, waitingQueues), minAskedWorkers, now);
         queues |= canAsk ? entry.second.value() : 0;
     }
     return TicketQueueMask {queues};
@@ -227,7 +252,7 @@
     for (; next && workDone < maxRoundWork; next = queue_.next(next, chances)) {
         queue_.markAttempted(
             next->step); // first, as the answer to a ticket request may come at once
-        const StepResult result = placeStep(next->step, now);
+        const StepResult result = placeStep(next->step, next->prospect, now);
         if (result.waitsForTickets) {
             queue_.markWaitingToAsk(next->step);
         }
@@ -263,7 +288,8 @@
     return demand;
 }
 
-Dispatcher::StepResult Dispatcher::placeStep(const TaskRef &step, MonotonicTime now)
+Dispatcher::StepResult Dispatcher::placeStep(
+    const TaskRef &step, Prospect prospect, MonotonicTime now)
 {
     const Graph *graph = parts_.journal.state().graphs().find(step.graph);
     if (graph == nullptr) {
@@ -272,13 +298,15 @@
     }
     const StepDemand demand = demandOf(*graph, step);
     if (demand.waiting.empty()) {
+        supervisor_->claims().release(step);
         return {};
     }
     const Queue *queue = parts_.journal.state().catalog().find(graph->spec.queue);
     if (queue != nullptr && queue->tickets) {
-        return placeWithTickets(demand, *graph, *queue->tickets, now);
+        return placeWithTickets(demand, *graph, *queue, prospect, now);
     }
-    const std::vector<FleetChoice> chosen = choose(demand, *graph, std::nullopt);
+    const std::vector<FleetChoice> chosen =
+        choose(limitToHeadroom(demand, *graph, prospect, now), *graph, std::nullopt);
     reservePlacements(demand, *graph, chosen, now);
     return {chosen.size(), false};
 }
@@ -298,11 +326,36 @@
     return chosen;
 }
 
+/// Returns the demand with only as many tasks as leave the headroom for more urgent queues.
+StepDemand Dispatcher::limitToHeadroom(
+    StepDemand demand, const Graph &graph, Prospect prospect, MonotonicTime now) const
+{
+    const std::uint64_t size = reservationSize(*demand.spec).milliCores;
+    if (size == 0 || demand.spec->lasting) {
+        return demand;
+    }
+    const std::uint32_t priority = prospect == Prospect::Expired
+        ? std::numeric_limits<std::uint32_t>::max()
+        : graph.spec.priority;
+    const Fleet &fleet = supervisor_->fleet();
+    const std::uint64_t open = fleet.openMilliCores(demand.service);
+    const std::uint64_t kept =
+        fleet.usedMilliCores(demand.service) + headroom_.milliCoresFor(priority, open, now);
+    const std::uint64_t tasks = kept >= open ? 0 : (open - kept) / size;
+    if (demand.spec->gang && tasks < demand.waiting.size()) {
+        demand.waiting.clear();
+    }
+    demand.waiting.resize(std::min<std::size_t>(demand.waiting.size(), tasks));
+    return demand;
+}
+
 void Dispatcher::reservePlacements(const StepDemand &demand, const Graph &graph,
     const std::vector<FleetChoice> &chosen, MonotonicTime now)
 {
     if (!chosen.empty()) {
         logPlaced(demand, graph, chosen);
+        headroom_.notePlaced(graph.spec.priority,
+            std::uint64_t {reservationSize(*demand.spec).milliCores} * chosen.size(), now);
     }
     for (const FleetChoice &choice : chosen) {
         TaskRef task = demand.step;
--- a/src/services/dispatcher.h
+++ b/src/services/dispatcher.h
@@ -12,6 +12,7 @@
 #include "src/services/runsupervisor.h"
 #include "src/services/ticketclient.h"
 
+#include <crocusmill/headroom.h>
 #include <crocusmill/stepqueue.h>
 
 #include <memory>
@@ -62,6 +63,7 @@
 
 private:
     explicit Dispatcher(const Parts &parts);
+    void noteAdoptedPlacements(MonotonicTime now);
 
     /// Result of the attempt to place a step.
     struct StepResult
@@ -77,18 +79,27 @@
     [[nodiscard]] std::optional<TaskSize> maxGainedRoom() const;
     [[nodiscard]] TicketQueueMask askableQueues(MonotonicTime now) const;
     TicketQueueMask ticketQueuesOf(const QueueName &name);
+    [[nodiscard]] TicketTerms termsOf(const Queue &queue, TicketQueueMask waitingQueues) const;
     [[nodiscard]] StepDemand demandOf(const Graph &graph, const TaskRef &step) const;
-    StepResult placeStep(const TaskRef &step, MonotonicTime now);
+    StepResult placeStep(const TaskRef &step, Prospect prospect, MonotonicTime now);
     [[nodiscard]] std::vector<FleetChoice> choose(StepDemand demand, const Graph &graph,
         const std::optional<std::vector<WorkerId>> &among) const;
-    StepResult placeWithTickets(
-        const StepDemand &demand, const Graph &graph, const TicketTiming &terms, MonotonicTime now);
+    StepResult placeWithTickets(const StepDemand &demand, const Graph &graph, const Queue &queue,
+        Prospect prospect, MonotonicTime now);
+    StepResult placeOrAsk(const StepDemand &demand, const Graph &graph, const Queue &queue,
+        Prospect prospect, MonotonicTime now);
+    [[nodiscard]] std::vector<WorkerId> workersToRenew(
+        const StepDemand &demand, const std::vector<FleetChoice> &allowed) const;
+    [[nodiscard]] bool hasEnoughWorkers(
+        const StepDemand &demand, const std::vector<WorkerId> &workers) const;
+    [[nodiscard]] StepDemand limitToHeadroom(
+        StepDemand demand, const Graph &graph, Prospect prospect, MonotonicTime now) const;
     void reservePlacements(const StepDemand &demand, const Graph &graph,
         const std::vector<FleetChoice> &chosen, MonotonicTime now);
     void logPlaced(
         const StepDemand &demand, const Graph &graph, const std::vector<FleetChoice> &chosen) const;
     /// Requests tickets for the workers. Returns false if no VM is free to send the request.
-    bool ask(const StepDemand &demand, const TicketTiming &terms,
+    bool ask(const StepDemand &demand, const TicketTerms &terms,
         const std::vector<WorkerId> &workers, MonotonicTime now);
     void onTicketAnswer(const TaskRef &step, const std::vector<WorkerId> &workers,
         const TicketAnswer &answer, Milliseconds validity, MonotonicTime askedAt);
@@ -99,6 +110,8 @@
     void proposePlacements();
     void onPlacementsProposed(const std::vector<RunPlacement> &placements, bool isOutcomeKnown);
     void forgetClosedGraphs();
+    /// Drops the tickets of a job, and the room that it keeps for them.
+    void forgetTickets(const GraphId &id);
     void reportRound(MonotonicTime startedAt, std::size_t readyStepCount);
     void logLoad(MonotonicTime now);
 
@@ -116,6 +129,7 @@
     TicketClient ticketClient_;
     TicketCache tickets_;
     StepQueue queue_;
+    Headroom headroom_;
     // Revision of the jobs and version of the catalog that queue_ reflects.
     GraphRevision queueRevision_;
     DocumentVersion queueCatalogVersion_;
--- a/src/services/dispatchlogs.cpp
+++ b/src/services/dispatchlogs.cpp
@@ -46,6 +46,7 @@
         {{"rounds", stats.rounds}, {"rounds_us", static_cast<std::uint64_t>(stats.total.count())},
             {"longest_us", static_cast<std::uint64_t>(stats.longest.count())},
             {"ready_steps", std::uint64_t {stats.maxReadySteps}},
+            {"claims", std::uint64_t {supervisor_->claims().size()}},
             {"open_jobs", std::uint64_t {graphs.openGraphs().size()}},
             {"waiting_jobs", std::uint64_t {graphs.waitingGraphs().size()}},
             {"runs", std::uint64_t {load.runs}}, {"reserved", std::uint64_t {load.reservedRuns}},
--- a/src/services/dispatchtickets.cpp
+++ b/src/services/dispatchtickets.cpp
@@ -14,7 +14,11 @@
 
 constexpr std::size_t maxAskedWorkers = 100; // in one request
 /// Expected minimum share of the requested workers that are allowed.
-constexpr double minAllowedShare = 0.3;
+constexpr double minAllowedShare = 0.25;
+/// A gang needs workers that could run this many times its tasks.
+constexpr double minGangCapacityFactor = 2.5;
+/// A gang with so many workers asks for more once none of its answers is younger than this.
+constexpr Milliseconds maxPatience {1'500};
 /// Extra workers in a request that renews tickets, in case a chosen worker has no room any more
 /// when the answer comes.
 constexpr std::size_t maxRenewalSpares = 2;
@@ -28,45 +32,109 @@
 
 } // namespace
 
-Dispatcher::StepResult Dispatcher::placeWithTickets(
-    const StepDemand &demand, const Graph &graph, const TicketTiming &terms, MonotonicTime now)
+Dispatcher::StepResult Dispatcher::placeWithTickets(const StepDemand &demand, const Graph &graph,
+    const Queue &queue, Prospect prospect, MonotonicTime now)
 {
     const TaskRef &step = demand.step;
+    RoomClaims &claims = supervisor_->claims();
+    if (claims.contains(step) && tickets_.hasPendingRequest(step)) {
+        return {};
+    }
+    const std::vector<FleetChoice> withdrawn = claims.withdraw(step);
+    const StepResult result = placeOrAsk(demand, graph, queue, prospect, now);
+    claims.noteGains(step, withdrawn);
+    return result;
+}
+
+Dispatcher::StepResult Dispatcher::placeOrAsk(const StepDemand &demand, const Graph &graph,
+    const Queue &queue, Prospect prospect, MonotonicTime now)
+{
+    const TaskRef &step = demand.step;
+    const StepDemand limited = limitToHeadroom(demand, graph, prospect, now);
+    if (limited.waiting.empty()) {
+        return {};
+    }
     const std::vector<FleetChoice> chosen =
-        choose(demand, graph, tickets_.workersWithTicket(step, now + minTicketValidity));
+        choose(limited, graph, tickets_.workersWithTicket(step, now + minTicketValidity));
     reservePlacements(demand, graph, chosen, now);
     const std::size_t placedCount = chosen.size();
     if (placedCount == demand.waiting.size() || tickets_.hasPendingRequest(step)) {
         return {placedCount, false};
     }
-    if (!ticketClient_.canAsk(terms, minAskedWorkers, now)) {
-        return {placedCount, true};
+    const StepDemand remaining = limitToHeadroom(demandOf(graph, step), graph, prospect, now);
+    if (remaining.waiting.empty()) {
+        return {placedCount, false};
     }
-    const StepDemand remaining = demandOf(graph, step);
-    const std::vector<FleetChoice> allowed =
-        choose(remaining, graph, tickets_.allowedWorkers(step));
+    const std::vector<WorkerId> allowedWorkers = tickets_.allowedWorkers(step);
+    const std::vector<FleetChoice> allowed = choose(remaining, graph, allowedWorkers);
+    const TicketTerms terms = termsOf(queue, queue_.queuesWaitingToAsk());
+    const bool canAsk = ticketClient_.canAsk(terms, minAskedWorkers, now);
+    if (!allowed.empty() && canAsk) {
+        supervisor_->claims().claim(remaining, allowed); // first, as the answer may come at once
+        const bool isSent = ask(remaining, terms, workersToRenew(remaining, allowed), now);
+        if (!isSent) {
+            supervisor_->claims().release(step);
+        }
+        return {placedCount, !isSent};
+    }
+    const bool isPatient = remaining.spec->gang && hasEnoughWorkers(remaining, allowedWorkers)
+        && now - tickets_.lastAnswerAt(step) < maxPatience;
+    if (isPatient || !allowed.empty()) {
+        // Steps without room are retried once one of their workers gains some.
+        return {placedCount, !allowed.empty()};
+    }
+    return {placedCount,
+        !canAsk || !ask(remaining, terms, workersToAsk(remaining, maxAskedWorkers), now)};
+}
+
+/// Returns the workers of `allowed`, and a few more that are allowed.
+std::vector<WorkerId> Dispatcher::workersToRenew(
+    const StepDemand &demand, const std::vector<FleetChoice> &allowed) const
+{
     std::vector<WorkerId> workers;
     for (const FleetChoice &choice : allowed) {
         if (std::find(workers.begin(), workers.end(), choice.worker) == workers.end()) {
             workers.push_back(choice.worker);
         }
     }
-    if (!workers.empty()) {
-        std::size_t spareCount = 0;
-        const WorkerPermissions &asked = tickets_.permissionsOf(step);
-        supervisor_->fleet().visitEligible(remaining, [&](const FleetWorker &worker) {
-            const bool isAdditional =
-                std::find(workers.begin(), workers.end(), worker.id) == workers.end();
-            const auto found = asked.find(worker.id);
-            if (isAdditional && found != asked.end() && found->second.isAllowed) {
-                workers.push_back(worker.id);
-                ++spareCount;
-            }
-            return spareCount < maxRenewalSpares;
-        });
-        return {placedCount, !ask(remaining, terms, workers, now)};
+    std::size_t spareCount = 0;
+    const WorkerPermissions &asked = tickets_.permissionsOf(demand.step);
+    supervisor_->fleet().visitEligible(demand, [&](const FleetWorker &worker) {
+        const bool isAdditional =
+            std::find(workers.begin(), workers.end(), worker.id) == workers.end();
+        const auto found = asked.find(worker.id);
+        if (isAdditional && found != asked.end() && found->second.isAllowed) {
+            workers.push_back(worker.id);
+            ++spareCount;
+        }
+        return spareCount < maxRenewalSpares;
+    });
+    return workers;
+}
+
+/// Returns whether these workers could run the whole gang beside other work. Requests for more
+/// workers would delay those of other steps.
+bool Dispatcher::hasEnoughWorkers(
+    const StepDemand &demand, const std::vector<WorkerId> &workers) const
+{
+    const double capacity = static_cast<double>(supervisor_->fleet().capacityFor(demand, workers));
+    return capacity >= minGangCapacityFactor * demand.spec->tasks;
+}
+
+TicketTerms Dispatcher::termsOf(const Queue &queue, TicketQueueMask waitingQueues) const
+{
+    TicketTerms terms {queue.name, *queue.tickets, 0};
+    for (const std::pair<const QueueName, TicketQueueMask> &entry : ticketQueues_) {
+        const bool isWaiting = (entry.second.value() & waitingQueues.value()) != 0;
+        if (!isWaiting || entry.first == queue.name) {
+            continue;
+        }
+        const Queue *other = parts_.journal.state().catalog().find(entry.first);
+        const bool asksLong = other != nullptr && other->tickets
+            && TicketClient::isLong(*other->tickets, minAskedWorkers);
+        terms.otherWaitingQueues += asksLong ? 1 : 0;
     }
-    return {placedCount, !ask(remaining, terms, workersToAsk(remaining, maxAskedWorkers), now)};
+    return terms;
 }
 
 /// Returns workers that the step has not asked about yet, those with most room first: at most
@@ -94,7 +162,7 @@
     return workers;
 }
 
-bool Dispatcher::ask(const StepDemand &demand, const TicketTiming &terms,
+bool Dispatcher::ask(const StepDemand &demand, const TicketTerms &terms,
     const std::vector<WorkerId> &workers, MonotonicTime now)
 {
     if (workers.empty()) {
@@ -103,7 +171,7 @@
     const TaskRef step = stepRef(demand.step);
     tickets_.recordRequest(step, workers); // first, as the answer may come at once
     const bool isSent = ticketClient_.ask(step, workers, terms, now,
-        [weak = weak_from_this(), step, workers, validity = terms.validity, askedAt = now](
+        [weak = weak_from_this(), step, workers, validity = terms.timing.validity, askedAt = now](
             const TicketAnswer &answer) {
             if (const std::shared_ptr<Dispatcher> self = weak.lock()) {
                 self->onTicketAnswer(step, workers, answer, validity, askedAt);
@@ -122,6 +190,7 @@
         logInfo("tickets.unanswered",
             {{"job", step.graph.value()}, {"workers", std::uint64_t {workers.size()}}});
         tickets_.recordFailure(step, workers);
+        supervisor_->claims().release(step);
         queue_.retry(step);
         graphsToRefresh_.insert(step.graph); // the step may request tickets ahead again
         return;
@@ -136,7 +205,7 @@
                 static_cast<std::uint64_t>(
                     std::chrono::duration_cast<Milliseconds>(now - askedAt).count())}});
     const Milliseconds valid = answer.validity > Milliseconds {0} ? answer.validity : validity;
-    tickets_.recordAnswer(step, workers, answer.allowed, now + valid);
+    tickets_.recordAnswer(step, workers, answer.allowed, now, valid);
     queue_.retry(step);
     scheduleRound();
 }
@@ -170,11 +239,18 @@
     if (queue == nullptr || !queue->tickets) {
         return true;
     }
-    if (!ticketClient_.canAsk(*queue->tickets, minAskedWorkers, now)) {
+    const TicketTerms terms = termsOf(*queue, queue_.queuesWaitingToAsk());
+    if (!ticketClient_.canAsk(terms, minAskedWorkers, now)) {
         return false;
     }
     const StepDemand demand = demandOf(*graph, step);
-    return ask(demand, *queue->tickets, workersToAsk(demand, maxAskedWorkers), now);
+    return ask(demand, terms, workersToAsk(demand, maxAskedWorkers), now);
+}
+
+void Dispatcher::forgetTickets(const GraphId &id)
+{
+    tickets_.forget(id);
+    supervisor_->claims().release(id);
 }
 
 /// Removes the tickets of jobs that are not open any more.
@@ -183,7 +259,7 @@
     for (const TaskRef &step : tickets_.steps()) {
         const Graph *graph = parts_.journal.state().graphs().find(step.graph);
         if (graph == nullptr || graph->state != GraphState::Open) {
-            tickets_.forget(step.graph);
+            forgetTickets(step.graph);
         }
     }
 }
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -321,6 +321,11 @@
     return fleet_;
 }
 
+RoomClaims &RunSupervisor::claims()
+{
+    return claims_;
+}
+
 FleetGains RunSupervisor::takeGains()
 {
     return fleet_.takeGains();
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -19,6 +19,7 @@
 #include <crocusmill/announcement.h>
 #include <crocusmill/answertimeout.h>
 #include <crocusmill/fleet.h>
+#include <crocusmill/roomclaims.h>
 #include <crocusmill/workerhealth.h>
 
 #include <functional>
@@ -134,6 +135,8 @@
     void forgetClosedJobs();
 
     [[nodiscard]] const Fleet &fleet() const;
+    /// Room that steps keep in the fleet while they wait for tickets.
+    [[nodiscard]] RoomClaims &claims();
     /// Notes a step of the recovery that others see, for the log.
     void noteRecoveryStep(RecoveryStep step);
     /// Returns the room that the fleet has gained since the last call.
@@ -289,6 +292,7 @@
     MonotonicTime tickingSince_; // since then this VM has led and ticked without gaps
     MonotonicTime inheritedLeasesExpireAt_; // all leases of earlier leaders have expired by then
     Fleet fleet_;
+    RoomClaims claims_ {fleet_};
     WorkerHealth health_;
     AnswerTimeout answerTimeout_; // of all workers: mostly it is this VM that is slow
     std::map<WorkerId, Worker> workers_;
--- a/src/services/ticketclient.cpp
+++ b/src/services/ticketclient.cpp
@@ -14,10 +14,15 @@
 /// Added to the expected decision time for the network round trip.
 constexpr Milliseconds transitAllowance {700};
 
-Milliseconds decisionTimeOf(const TicketTiming &terms, std::size_t workers)
+Milliseconds decisionTimeOf(const TicketTiming &timing, std::size_t workers)
 {
-    return terms.decision
-        + std::chrono::ceil<Milliseconds>(terms.perWorker * static_cast<std::int64_t>(workers));
+    return timing.decision
+        + std::chrono::ceil<Milliseconds>(timing.perWorker * static_cast<std::int64_t>(workers));
+}
+
+TicketRequest requestOf(const TicketTerms &terms, std::size_t workers)
+{
+    return {terms.queue, decisionTimeOf(terms.timing, workers), terms.otherWaitingQueues};
 }
 
 } // namespace
@@ -31,6 +36,11 @@
     lanes_->addSelf(self_);
 }
 
+bool TicketClient::isLong(const TicketTiming &timing, std::size_t workers)
+{
+    return decisionTimeOf(timing, workers) >= longRequestDuration;
+}
+
 void TicketClient::onVmPresence(const NodeAddress &vm, MonotonicTime now)
 {
     if (vm != self_) {
@@ -38,20 +48,20 @@
     }
 }
 
-bool TicketClient::canAsk(const TicketTiming &terms, std::size_t workers, MonotonicTime now) const
+bool TicketClient::canAsk(const TicketTerms &terms, std::size_t workers, MonotonicTime now) const
 {
-    return lanes_->pick(decisionTimeOf(terms, workers), now).has_value();
+    return lanes_->pick(requestOf(terms, workers), now).has_value();
 }
 
 bool TicketClient::ask(const TaskRef &step, const std::vector<WorkerId> &workers,
-    const TicketTiming &terms, MonotonicTime now, std::function<void(const TicketAnswer &)> done)
+    const TicketTerms &terms, MonotonicTime now, std::function<void(const TicketAnswer &)> done)
 {
-    const Milliseconds decisionTime = decisionTimeOf(terms, workers.size());
-    const std::optional<NodeAddress> vm = lanes_->pick(decisionTime, now);
+    const TicketRequest request = requestOf(terms, workers.size());
+    const std::optional<NodeAddress> vm = lanes_->pick(request, now);
     if (!vm) {
         return false;
     }
-    const Milliseconds limit = lanes_->recordRequest(*vm, decisionTime, now) + transitAllowance;
+    const Milliseconds limit = lanes_->recordRequest(*vm, request, now) + transitAllowance;
     const std::function<void(const TicketAnswer &)> onAnswer =
         [lanes = std::weak_ptr<TicketVmSelector> {lanes_}, vm = *vm, done = std::move(done)](
             const TicketAnswer &answer) {
--- a/test/dispatcher.cpp
+++ b/test/dispatcher.cpp
@@ -60,6 +60,54 @@
     CHECK(leader.link.starts.back().order.ticket == Ticket {"ticket"});
 }
 
+TEST_CASE("a gang found its room taken each time its tickets were renewed")
+{
+    CallingLeader leader;
+    Queue asking = quotesQueue();
+    asking.tickets = TicketTiming {};
+    Queue direct = quotesQueue();
+    direct.name = QueueName {"direct"};
+    direct.prefix = "/direct/";
+    Catalog catalog;
+    catalog.version = DocumentVersion {1};
+    catalog.queues = {asking, direct};
+    static_cast<void>(leader.peers.ask(CatalogCall {catalog}));
+    leader.addWorker("w", 4'000);
+    leader.office.validity = Milliseconds {1}; // the first tickets expire before they can be used
+    leader.office.answeredAtOnce = 1;
+    StepSpec gang = stepOf(4);
+    gang.gang = true;
+    CHECK(leader.submit("00000000000000ee", {gang}).outcome == GraphOutcome::Done);
+    leader.control.run_for(someRounds);
+    REQUIRE(leader.office.heldAnswers.size() == 1);
+    GraphCall other;
+    other.action = GraphAction::Submit;
+    other.host = direct.host;
+    other.path = direct.prefix + "00000000000000ff";
+    other.spec = GraphSpec {};
+    other.spec->steps = {stepOf(1)};
+    static_cast<void>(leader.peers.ask(other));
+    leader.control.run_for(someRounds);
+    CHECK(leader.link.starts.empty());
+    SECTION("the answer places the gang in the room that it kept")
+    {
+        leader.office.heldAnswers.front()();
+        leader.control.run_for(someRounds);
+        CHECK(leader.office.requestCount == 2);
+        CHECK(leader.link.starts.size() == 4);
+    }
+    SECTION("a job that is cancelled gives its room back")
+    {
+        GraphCall cancel;
+        cancel.action = GraphAction::Cancel;
+        cancel.host = asking.host;
+        cancel.path = asking.prefix + "00000000000000ee";
+        static_cast<void>(leader.peers.ask(cancel));
+        leader.control.run_for(someRounds);
+        CHECK(leader.link.starts.size() == 1);
+    }
+}
+
 TEST_CASE("a gang does not start in part while there is no room for all of its tasks")
 {
     CallingLeader leader;
--- a/test/fakes/callingleader.h
+++ b/test/fakes/callingleader.h
@@ -7,6 +7,9 @@
 #include "test/fakes/workerlink.h"
 
 #include <algorithm>
+#include <functional>
+#include <limits>
+#include <vector>
 
 namespace crocusmill::fakes
 {
@@ -20,7 +23,7 @@
     }
 };
 
-/// Answers at once and allows all workers.
+/// Allows all workers, and answers at once unless told otherwise.
 class FakeTicketOffice final : public PassiveService, public TicketOffice
 {
 public:
@@ -40,12 +43,20 @@
             for (const WorkerId &worker : workers) {
                 answer.allowed.push_back({worker, Ticket {"ticket"}});
             }
-            answer.validity = Milliseconds {60'000};
+            answer.validity = requestCount > answeredAtOnce ? heldValidity : validity;
+        }
+        if (requestCount > answeredAtOnce) {
+            heldAnswers.emplace_back([answer, done]() { done(answer); });
+        } else {
+            done(answer);
         }
-        done(answer);
     }
 
     int requestCount = 0;
+    int answeredAtOnce = std::numeric_limits<int>::max(); // later answers go to heldAnswers
+    std::vector<std::function<void()>> heldAnswers;
+    Milliseconds validity {60'000};
+    Milliseconds heldValidity {60'000}; // of the answers in heldAnswers
     int unansweredCount = 0; // how many of the next requests get no answer
 };
 
--- a/test/oddentries.cpp
+++ b/test/oddentries.cpp
@@ -99,8 +99,8 @@
 {
     static const std::vector<std::string> oddValues {"-1", "65536", "1e308", "-1e308", "1e400",
         "0.5", "-0", "18446744073709551616", "9223372036854775807", "4294967296",
-        "123456789012345678901234567890", "NaN", "null", "true", "{}", "[]", "\"\"", "\"\\u0000\"",
-        "\"\xff\xfe\"", "\"10.1.0.9:65536\"", "\"10.1.0.9:-1\"", "\"[::1]:0\"", nested(10'000),
+        "123456789012345678901234567890", "NaN", "null", "true", "{}", "[]", R"("")", R"("\u0000")",
+        "\"\xff\xfe\"", R"("10.1.0.9:65536")", R"("10.1.0.9:-1")", R"("[::1]:0")", nested(10'000),
         nested(31), "[[],[null],[1,2,3,4,5]]"};
     const auto below = [&random](std::size_t limit) {
         return random() % limit;
@@ -130,7 +130,7 @@
 
 TEST_CASE("a progress that is no whole percentage ended the process that read the list")
 {
-    for (const char *percent : {"-1", "41.5", "1e300", "4294967296", "\"x\"", "null"}) {
+    for (const char *percent : {"-1", "41.5", "1e300", "4294967296", R"("x")", "null"}) {
         INFO(percent);
         const Result<HoldOutcome> read = readHoldResponse(
             okResponse(replaced(validList, ",41,3]", "," + std::string {percent} + ",3]")));
--- a/test/ticketbook.cpp
+++ b/test/ticketbook.cpp
@@ -20,7 +20,7 @@
     CHECK(cache.permissionsOf(step).size() == 2);
     CHECK(cache.wasAsked(step, no));
     CHECK_FALSE(cache.isAllowed(step, yes));
-    cache.recordAnswer(step, {yes, no}, {{yes, Ticket {"t1"}}}, now + Milliseconds {100});
+    cache.recordAnswer(step, {yes, no}, {{yes, Ticket {"t1"}}}, now, Milliseconds {100});
     CHECK_FALSE(cache.hasPendingRequest(step));
     CHECK(cache.ticket(step, yes, now) == Ticket {"t1"});
     CHECK_FALSE(cache.ticket(step, no, now).has_value());
@@ -35,7 +35,7 @@
         CHECK(cache.stepsAllowedOn(yes) == std::set<TaskRef> {step});
         CHECK(cache.stepsAllowedOn(no).empty());
         cache.recordRequest(step, {yes, no});
-        cache.recordAnswer(step, {yes, no}, {{no, Ticket {"t2"}}}, now + Milliseconds {100});
+        cache.recordAnswer(step, {yes, no}, {{no, Ticket {"t2"}}}, now, Milliseconds {100});
         CHECK(cache.stepsAllowedOn(yes).empty());
         CHECK(cache.stepsAllowedOn(no) == std::set<TaskRef> {step});
         cache.forget(step.graph);
@@ -59,7 +59,7 @@
     {
         cache.recordRequest(step, {yes});
         cache.forget(step.graph);
-        cache.recordAnswer(step, {yes}, {{yes, Ticket {"t2"}}}, now + Milliseconds {100});
+        cache.recordAnswer(step, {yes}, {{yes, Ticket {"t2"}}}, now, Milliseconds {100});
         CHECK(cache.steps().empty());
     }
 }
--- a/test/ticketlanes.cpp
+++ b/test/ticketlanes.cpp
@@ -26,6 +26,12 @@
     return {"10.0.0." + std::to_string(number), 7000};
 }
 
+TicketRequest requestFor(
+    Milliseconds duration, const std::string &queue = "queue", std::size_t otherWaitingQueues = 0)
+{
+    return {QueueName {queue}, duration, otherWaitingQueues};
+}
+
 /// Reference: gives each request at once to the VM that is idle first.
 class LeastBusy
 {
@@ -35,16 +41,17 @@
         freeAt_.try_emplace(vm);
     }
 
-    std::optional<NodeAddress> pick(Milliseconds /*duration*/, MonotonicTime /*now*/) const
+    std::optional<NodeAddress> pick(const TicketRequest & /*request*/, MonotonicTime /*now*/) const
     {
         return std::min_element(freeAt_.begin(), freeAt_.end(),
             [](const auto &left, const auto &right) { return left.second < right.second; })
             ->first;
     }
 
-    Milliseconds recordRequest(const NodeAddress &vm, Milliseconds duration, MonotonicTime now)
+    Milliseconds recordRequest(
+        const NodeAddress &vm, const TicketRequest &request, MonotonicTime now)
     {
-        freeAt_[vm] = std::max(freeAt_[vm], now) + duration;
+        freeAt_[vm] = std::max(freeAt_[vm], now) + request.duration;
         return std::chrono::ceil<Milliseconds>(freeAt_[vm] - now);
     }
 
@@ -85,12 +92,14 @@
         for (std::deque<Request> *queue : {&urgent, &rest}) {
             std::deque<Request> left;
             for (const Request &request : *queue) {
-                const std::optional<NodeAddress> chosen = policy.pick(request.duration, now);
+                const std::optional<NodeAddress> chosen =
+                    policy.pick(requestFor(request.duration), now);
                 if (!chosen) {
                     left.push_back(request);
                     continue;
                 }
-                const Milliseconds answer = policy.recordRequest(*chosen, request.duration, now);
+                const Milliseconds answer =
+                    policy.recordRequest(*chosen, requestFor(request.duration), now);
                 const Milliseconds took =
                     std::chrono::duration_cast<Milliseconds>(now - request.since) + answer;
                 if (request.duration == quick) {
@@ -129,30 +138,69 @@
     }
 }
 
+TEST_CASE("the gangs of one queue kept the requests of another from every VM")
+{
+    TicketVmSelector selector;
+    const MonotonicTime now = start + Milliseconds {10'000}; // the load of a new leader has passed
+    const auto fill = [&selector, now](const TicketRequest &request) {
+        int sent = 0;
+        while (const std::optional<NodeAddress> chosen = selector.pick(request, now)) {
+            static_cast<void>(selector.recordRequest(*chosen, request, now));
+            ++sent;
+        }
+        return sent;
+    };
+    for (std::uint16_t number = 0; number < 16; ++number) {
+        selector.markAlive(vm(number), start);
+        selector.markAlive(vm(number), now);
+    }
+    // A quarter of the VMs stays free for quick requests.
+    CHECK(fill(requestFor(large, "gangs", 1)) == 6);
+    CHECK(fill(requestFor(large, "others", 1)) == 6);
+    CHECK(selector.pick(requestFor(quick), now).has_value());
+}
+
+TEST_CASE("a queue that waits alone may use all VMs that take long requests")
+{
+    TicketVmSelector selector;
+    const MonotonicTime now = start + Milliseconds {10'000};
+    int sent = 0;
+    for (std::uint16_t number = 0; number < 16; ++number) {
+        selector.markAlive(vm(number), start);
+        selector.markAlive(vm(number), now);
+    }
+    const TicketRequest request = requestFor(large, "gangs");
+    while (const std::optional<NodeAddress> chosen = selector.pick(request, now)) {
+        static_cast<void>(selector.recordRequest(*chosen, request, now));
+        ++sent;
+    }
+    CHECK(sent == 12);
+}
+
 TEST_CASE("a silent VM gets no requests until its next sign of life")
 {
     TicketVmSelector selector;
     selector.addSelf(vm(1));
     selector.markAlive(vm(2), start);
-    CHECK(selector.pick(quick, start) == vm(2));
-    CHECK(selector.pick(quick, start + Milliseconds {2'000}) == vm(1));
+    CHECK(selector.pick(requestFor(quick), start) == vm(2));
+    CHECK(selector.pick(requestFor(quick), start + Milliseconds {2'000}) == vm(1));
     selector.markAlive(vm(2), start + Milliseconds {2'000});
     selector.markSilent(vm(2));
-    CHECK(selector.pick(quick, start + Milliseconds {2'000}) == vm(1));
+    CHECK(selector.pick(requestFor(quick), start + Milliseconds {2'000}) == vm(1));
     selector.markSilent(vm(1));
-    CHECK(selector.pick(quick, start + Milliseconds {2'000}) == vm(1));
+    CHECK(selector.pick(requestFor(quick), start + Milliseconds {2'000}) == vm(1));
 }
 
 TEST_CASE("a VM gets its next request when it is about to be idle, earlier if it answers early")
 {
     TicketVmSelector selector;
     selector.addSelf(vm(1));
-    CHECK(selector.pick(large, start) == vm(1)); // the only VM also takes long requests
-    CHECK(selector.recordRequest(vm(1), large, start) == large);
-    CHECK_FALSE(selector.pick(quick, start + Milliseconds {100}).has_value());
-    CHECK(selector.pick(quick, start + large - Milliseconds {20}) == vm(1));
+    CHECK(selector.pick(requestFor(large), start) == vm(1)); // the only VM also takes long requests
+    CHECK(selector.recordRequest(vm(1), requestFor(large), start) == large);
+    CHECK_FALSE(selector.pick(requestFor(quick), start + Milliseconds {100}).has_value());
+    CHECK(selector.pick(requestFor(quick), start + large - Milliseconds {20}) == vm(1));
     selector.recordAnswer(vm(1), start + Milliseconds {200});
-    CHECK(selector.pick(quick, start + Milliseconds {200}) == vm(1));
+    CHECK(selector.pick(requestFor(quick), start + Milliseconds {200}) == vm(1));
 }
 
 } // namespace crocusmill
