Leader: a VM that was suspended does not act on a lease that ran out meanwhile

A leader that woke after seconds held its lease for up to 0.36 s more, and longer with replies that had waited in its sockets, while another led: it could answer with an older catalog and send orders. Change: they go by a clock that counts that time.

--- a/src/net/clock.cpp
+++ b/src/net/clock.cpp
@@ -56,6 +56,11 @@
 
 } // namespace
 
+MonotonicTime suspendAwareNow()
+{
+    return MonotonicTime {sinceBoot()};
+}
+
 WallTime wallTimeNow()
 {
     static ProcessClock clock;
--- a/src/net/clock.h
+++ b/src/net/clock.h
@@ -16,6 +16,10 @@
     return std::chrono::steady_clock::now();
 }
 
+/// Like monotonicNow(), but counts the time in which this VM was suspended. For the lease and the
+/// elections of the journal, as the other VMs go on meanwhile. Not comparable with monotonicNow().
+[[nodiscard]] MonotonicTime suspendAwareNow();
+
 /// When this process started, for durations in log records.
 inline const MonotonicTime processStartedAt = monotonicNow();
 
--- a/src/services/journalservice.cpp
+++ b/src/services/journalservice.cpp
@@ -76,7 +76,7 @@
         std::random_device random;
         const std::uint64_t seed = (std::uint64_t {random()} << 32U) ^ random();
         consensus_ = std::make_unique<Consensus>(storage_->identity(), settings_.times.consensus,
-            std::move(stored), seed, monotonicNow());
+            std::move(stored), seed, suspendAwareNow());
         logInfo("journal.opened",
             {{"replica", storage_->identity().value()},
                 {"last_index", consensus_->lastIndex().value()}, {"formed", isFormed()},
@@ -126,7 +126,8 @@
 
     bool isLeading() const override
     {
-        return consensus_ && consensus_->isReadyLeader() && consensus_->holdsLease(monotonicNow());
+        return consensus_ && consensus_->isReadyLeader()
+            && consensus_->holdsLease(suspendAwareNow());
     }
 
     bool isFormed() const override
@@ -190,7 +191,7 @@
         stored.snapshot = std::make_shared<const Snapshot>(initialSnapshot);
         hardState_ = hardState;
         consensus_ = std::make_unique<Consensus>(storage_->identity(), settings_.times.consensus,
-            std::move(stored), storage_->identity().value(), monotonicNow());
+            std::move(stored), storage_->identity().value(), suspendAwareNow());
         logInfo("journal.formed", {{"members", std::uint64_t {membership.members.size()}}});
         return true;
     }
@@ -220,7 +221,7 @@
 private:
     void receive(const Message &message)
     {
-        consensus_->receive(message, monotonicNow());
+        consensus_->receive(message, suspendAwareNow());
         scheduleStep();
     }
 
@@ -424,7 +425,7 @@
             if (error) {
                 return;
             }
-            consensus_->tick(monotonicNow());
+            consensus_->tick(suspendAwareNow());
             logLeadership();
             step();
             repair();
