--- a/include/crocusmill/roomclaims.h
+++ b/include/crocusmill/roomclaims.h
@@ -1,15 +1,17 @@
-/// Room that steps keep on workers while they wait for tickets.
+/// Room that steps keep on workers until they can start.
 ///
-/// Load pattern: a ticket takes half a second, and in that time others take the room of the worker
-/// that it is for. Gangs then ask again and again, and their requests keep those of others from
-/// being answered. So a step that has found room on workers that it may use keeps it until the
-/// answer. Pure; owned by the control thread.
+/// Load pattern: a ticket takes half a second, and in that time others take the room of the workers
+/// that it is for; and small tasks take each core that comes free, so that there is never room for
+/// all tasks of a gang at once. So a step that has found room on workers that it may use keeps it
+/// until the answer, and a gang that could end in time collects room until it has enough. Pure;
+/// owned by the control thread.
 
 #pragma once
 
 #include <crocusmill/fleet.h>
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace crocusmill
@@ -23,6 +25,14 @@
 
     /// Takes the room of `choices` for the step, which must not have a claim.
     void claim(const StepDemand &demand, const std::vector<FleetChoice> &choices);
+    /// The same for a step that collects room since `now`, or since an earlier collect() whose
+    /// claim was withdrawn.
+    void collect(
+        const StepDemand &demand, const std::vector<FleetChoice> &choices, MonotonicTime now);
+    /// Returns whether the step may collect room: all that do so are for at most a share of the
+    /// cores of their service.
+    [[nodiscard]] bool canCollect(const StepDemand &demand) const;
+
     /// Gives the room of the step's claim back and returns its choices, for another attempt to
     /// place the step. noteGains() must follow.
     [[nodiscard]] std::vector<FleetChoice> withdraw(const TaskRef &step);
@@ -32,6 +42,8 @@
     void release(const TaskRef &step);
     /// Releases the claims of all steps of a job.
     void release(const GraphId &graph);
+    /// Releases the claims of steps that have collected room since before `time`.
+    void releaseCollectedBefore(MonotonicTime time);
 
     [[nodiscard]] bool contains(const TaskRef &step) const;
     /// Returns the number of steps with a claim.
@@ -40,15 +52,22 @@
 private:
     struct Claim
     {
+        ServiceName service;
         StepSpec spec;
         std::vector<FleetChoice> choices;
+        std::optional<MonotonicTime> collectingSince;
     };
 
+    [[nodiscard]] static std::uint64_t milliCoresOf(const StepSpec &spec);
+    void take(const StepDemand &demand, const std::vector<FleetChoice> &choices,
+        std::optional<MonotonicTime> collectingSince);
     void giveBack(const TaskRef &step, const Claim &claim);
 
     Fleet &fleet_;
     // Invariant: the choices of each claim take up room in fleet_.
     std::map<TaskRef, Claim> claims_;
+    // When a step began to collect. Contains steps that collect, or whose claim is withdrawn.
+    std::map<TaskRef, MonotonicTime> collectingSince_;
 };
 
 } // namespace crocusmill
--- a/src/cell/roomclaims.cpp
+++ b/src/cell/roomclaims.cpp
@@ -7,14 +7,40 @@
 namespace crocusmill
 {
 
+namespace
+{
+
+/// Steps that collect room need at most one core in this many of their service.
+constexpr std::uint64_t minCoresPerCollected = 4;
+
+} // namespace
+
 RoomClaims::RoomClaims(Fleet &fleet)
     : fleet_(fleet)
 {
 }
 
+std::uint64_t RoomClaims::milliCoresOf(const StepSpec &spec)
+{
+    return std::uint64_t {reservationSize(spec).milliCores} * spec.tasks;
+}
+
 void RoomClaims::claim(const StepDemand &demand, const std::vector<FleetChoice> &choices)
 {
-    const Claim claim {*demand.spec, choices};
+    collectingSince_.erase(demand.step);
+    take(demand, choices, std::nullopt);
+}
+
+void RoomClaims::collect(
+    const StepDemand &demand, const std::vector<FleetChoice> &choices, MonotonicTime now)
+{
+    take(demand, choices, collectingSince_.try_emplace(demand.step, now).first->second);
+}
+
+void RoomClaims::take(const StepDemand &demand, const std::vector<FleetChoice> &choices,
+    std::optional<MonotonicTime> collectingSince)
+{
+    const Claim claim {demand.service, *demand.spec, choices, collectingSince};
     TaskRef task = demand.step;
     for (const FleetChoice &choice : choices) {
         task.task = choice.task;
@@ -23,6 +49,16 @@
     claims_.emplace(demand.step, claim);
 }
 
+bool RoomClaims::canCollect(const StepDemand &demand) const
+{
+    std::uint64_t collected = milliCoresOf(*demand.spec);
+    for (const std::pair<const TaskRef, Claim> &entry : claims_) {
+        const bool counts = entry.second.collectingSince && entry.second.service == demand.service;
+        collected += counts ? milliCoresOf(entry.second.spec) : 0;
+    }
+    return collected * minCoresPerCollected <= fleet_.openMilliCores(demand.service);
+}
+
 std::vector<FleetChoice> RoomClaims::withdraw(const TaskRef &step)
 {
     const auto it = claims_.find(step);
@@ -51,6 +87,9 @@
             fleet_.noteGain(choice.worker);
         }
     }
+    if (it == claims_.end()) {
+        collectingSince_.erase(step);
+    }
 }
 
 void RoomClaims::giveBack(const TaskRef &step, const Claim &claim)
@@ -60,6 +99,7 @@
         task.task = choice.task;
         fleet_.release(choice.worker, task, claim.spec);
     }
+    collectingSince_.erase(step);
 }
 
 void RoomClaims::release(const TaskRef &step)
@@ -80,6 +120,17 @@
     }
 }
 
+void RoomClaims::releaseCollectedBefore(MonotonicTime time)
+{
+    std::erase_if(claims_, [this, time](const std::pair<const TaskRef, Claim> &entry) {
+        const bool isOld = entry.second.collectingSince && *entry.second.collectingSince < time;
+        if (isOld) {
+            giveBack(entry.first, entry.second);
+        }
+        return isOld;
+    });
+}
+
 bool RoomClaims::contains(const TaskRef &step) const
 {
     return claims_.contains(step);
--- a/src/net/clock.cpp
+++ b/src/net/clock.cpp
@@ -5,6 +5,7 @@
 #include "src/net/log.h"
 
 #include <crocusmill/slewedclock.h>
+#include <crocusmill/suspendclock.h>
 
 #include <ctime>
 #include <mutex>
@@ -18,26 +19,29 @@
 /// A larger difference to the system's time of day is logged once, and again when it has gone.
 constexpr Milliseconds minReportedLead {1'000};
 
-SlewedClock::Elapsed sinceBoot()
+std::chrono::nanoseconds readUptime()
 {
     timespec time {};
-    ::clock_gettime(CLOCK_BOOTTIME, &time); // unlike the steady clock, it counts suspended time
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
     return std::chrono::seconds {time.tv_sec} + std::chrono::nanoseconds {time.tv_nsec};
 }
 
-WallTime systemTime()
-{
-    return std::chrono::floor<Milliseconds>(std::chrono::system_clock::now());
-}
-
 class ProcessClock
 {
 public:
-    WallTime read()
+    MonotonicTime readSteady()
+    {
+        const std::lock_guard<std::mutex> lock {mutex_};
+        return steady_.read(monotonicNow(), std::chrono::system_clock::now());
+    }
+
+    WallTime readTimeOfDay()
     {
         const std::lock_guard<std::mutex> lock {mutex_};
-        const WallTime time = clock_.read(sinceBoot(), systemTime());
-        const Milliseconds lead = clock_.systemLead();
+        const std::chrono::system_clock::time_point system = std::chrono::system_clock::now();
+        const WallTime time = timeOfDay_.read(
+            steady_.read(monotonicNow(), system).time_since_epoch(), floored(system));
+        const Milliseconds lead = timeOfDay_.systemLead();
         const bool isStepped = std::chrono::abs(lead) >= minReportedLead;
         if (isStepped != isStepped_) {
             isStepped_ = isStepped;
@@ -49,22 +53,35 @@
     }
 
 private:
+    static WallTime floored(std::chrono::system_clock::time_point time)
+    {
+        return std::chrono::floor<Milliseconds>(time);
+    }
+
     std::mutex mutex_;
-    SlewedClock clock_ {sinceBoot(), systemTime()};
+    SuspendAwareClock steady_ {readUptime};
+    SlewedClock timeOfDay_ {
+        steady_.read(monotonicNow(), std::chrono::system_clock::now()).time_since_epoch(),
+        floored(std::chrono::system_clock::now())};
     bool isStepped_ = false; // the last reading differed by minReportedLead or more
 };
 
+ProcessClock &processClock()
+{
+    static ProcessClock clock;
+    return clock;
+}
+
 } // namespace
 
 MonotonicTime suspendAwareNow()
 {
-    return MonotonicTime {sinceBoot()};
+    return processClock().readSteady();
 }
 
 WallTime wallTimeNow()
 {
-    static ProcessClock clock;
-    return clock.read();
+    return processClock().readTimeOfDay();
 }
 
 } // namespace crocusmill
--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -136,8 +136,7 @@
     proposePlacements();
     if (now >= nextTicketCleanup_) {
         nextTicketCleanup_ = now + ticketCleanupInterval;
-        forgetClosedGraphs();
-        queue_.retryAll(); // patience ends and headroom goes without another event
+        forgetClosedGraphs(now);
         supervisor_->forgetClosedJobs();
     }
     reportRound(startedAt, queue_.size());
--- a/src/services/dispatcher.h
+++ b/src/services/dispatcher.h
@@ -92,6 +92,8 @@
         const StepDemand &demand, const std::vector<FleetChoice> &allowed) const;
     [[nodiscard]] bool hasEnoughWorkers(
         const StepDemand &demand, const std::vector<WorkerId> &workers) const;
+    void collectRoom(const StepDemand &demand, const Graph &graph,
+        const std::vector<WorkerId> &allowedWorkers, Prospect prospect, MonotonicTime now);
     [[nodiscard]] StepDemand limitToHeadroom(
         StepDemand demand, const Graph &graph, Prospect prospect, MonotonicTime now) const;
     void reservePlacements(const StepDemand &demand, const Graph &graph,
@@ -109,7 +111,7 @@
         const StepDemand &demand, std::size_t maxWorkers) const;
     void proposePlacements();
     void onPlacementsProposed(const std::vector<RunPlacement> &placements, bool isOutcomeKnown);
-    void forgetClosedGraphs();
+    void forgetClosedGraphs(MonotonicTime now);
     /// Drops the tickets of a job, and the room that it keeps for them.
     void forgetTickets(const GraphId &id);
     void reportRound(MonotonicTime startedAt, std::size_t readyStepCount);
--- a/src/services/dispatchtickets.cpp
+++ b/src/services/dispatchtickets.cpp
@@ -19,6 +19,8 @@
 constexpr double minGangCapacityFactor = 2.5;
 /// A gang with so many workers asks for more once none of its answers is younger than this.
 constexpr Milliseconds maxPatience {1'500};
+/// A gang that has collected room for this long without finding enough gives it back.
+constexpr Milliseconds maxCollectingTime {4'000};
 /// Extra workers in a request that renews tickets, in case a chosen worker has no room any more
 /// when the answer comes.
 constexpr std::size_t maxRenewalSpares = 2;
@@ -77,6 +79,9 @@
         }
         return {placedCount, !isSent};
     }
+    if (remaining.spec->gang) {
+        collectRoom(remaining, graph, allowedWorkers, prospect, now);
+    }
     const bool isPatient = remaining.spec->gang && hasEnoughWorkers(remaining, allowedWorkers)
         && now - tickets_.lastAnswerAt(step) < maxPatience;
     if (isPatient || !allowed.empty()) {
@@ -121,6 +126,24 @@
     return capacity >= minGangCapacityFactor * demand.spec->tasks;
 }
 
+/// Keeps what room there is for a gang on workers that it may use.
+void Dispatcher::collectRoom(const StepDemand &demand, const Graph &graph,
+    const std::vector<WorkerId> &allowedWorkers, Prospect prospect, MonotonicTime now)
+{
+    RoomClaims &claims = supervisor_->claims();
+    if (prospect == Prospect::Expired || demand.spec->oneRack || !claims.canCollect(demand)) {
+        return;
+    }
+    StepSpec anyNumber = *demand.spec;
+    anyNumber.gang = false;
+    StepDemand part = demand;
+    part.spec = &anyNumber;
+    const std::vector<FleetChoice> found = choose(part, graph, allowedWorkers);
+    if (!found.empty()) {
+        claims.collect(demand, found, now);
+    }
+}
+
 TicketTerms Dispatcher::termsOf(const Queue &queue, TicketQueueMask waitingQueues) const
 {
     TicketTerms terms {queue.name, *queue.tickets, 0};
@@ -254,8 +277,10 @@
 }
 
 /// Removes the tickets of jobs that are not open any more.
-void Dispatcher::forgetClosedGraphs()
+void Dispatcher::forgetClosedGraphs(MonotonicTime now)
 {
+    supervisor_->claims().releaseCollectedBefore(now - maxCollectingTime);
+    queue_.retryAll(); // patience ends and headroom goes without another event
     for (const TaskRef &step : tickets_.steps()) {
         const Graph *graph = parts_.journal.state().graphs().find(step.graph);
         if (graph == nullptr || graph->state != GraphState::Open) {
--- a/test/roomclaims.cpp
+++ b/test/roomclaims.cpp
@@ -320,4 +320,42 @@
     CHECK(fleet.takeGains().workers == std::set<WorkerId> {workerOf(2)});
 }
 
+TEST_CASE("gangs collect room for at most a quarter of the cores, and give it back after a while")
+{
+    const MonotonicTime start {std::chrono::hours {1}};
+    Fleet fleet;
+    FleetWorker worker;
+    worker.id = workerOf(1);
+    worker.service = ServiceName {"matching"};
+    worker.capacity = {16'000, ByteCount {1}, 0};
+    worker.isOpen = true;
+    fleet.setWorker(worker);
+    StepSpec gang = stepOf(4);
+    gang.gang = true;
+    StepDemand demand;
+    demand.step = {GraphId {"g"}, 0, 0, 0};
+    demand.service = worker.service;
+    demand.spec = &gang;
+    demand.waiting = {0, 1, 2, 3};
+    RoomClaims claims {fleet};
+    REQUIRE(claims.canCollect(demand));
+    claims.collect(demand, {{0, worker.id, {}}}, start);
+    StepDemand other = demand;
+    other.step.graph = GraphId {"h"};
+    CHECK_FALSE(claims.canCollect(other));
+    // A later attempt that finds more room does not begin anew.
+    static_cast<void>(fleet.takeGains());
+    const std::vector<FleetChoice> withdrawn = claims.withdraw(demand.step);
+    CHECK(fleet.freeCapacityOn(worker.id).milliCores == 16'000);
+    claims.collect(demand, {{0, worker.id, {}}, {1, worker.id, {}}}, start + Milliseconds {1'000});
+    claims.noteGains(demand.step, withdrawn);
+    CHECK(fleet.takeGains().workers.empty());
+    claims.releaseCollectedBefore(start);
+    CHECK(claims.contains(demand.step));
+    claims.releaseCollectedBefore(start + Milliseconds {1});
+    CHECK_FALSE(claims.contains(demand.step));
+    CHECK(fleet.freeCapacityOn(worker.id).milliCores == 16'000);
+    CHECK(fleet.takeGains().workers.size() == 1);
+}
+
 } // namespace crocusmill
