Dispatcher: the headroom of steps in a file of its own

Change: two functions moved as they were to dispatchheadroom.cpp; no other line differs. Measured: builds; tests dispatcher and leaderservice pass.

--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -6,7 +6,6 @@
 #include "src/net/log.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace crocusmill
 {
@@ -45,26 +44,6 @@
     return dispatcher;
 }
 
-/// What runs for the last leader shows how much urgent work there is.
-void Dispatcher::noteAdoptedPlacements(MonotonicTime now)
-{
-    const GraphRegistry &graphs = parts_.journal.state().graphs();
-    for (const GraphId &id : graphs.openGraphs()) {
-        const Graph &graph = *graphs.find(id);
-        std::uint64_t milliCores = 0;
-        for (const GraphOccurrence &occurrence : graph.occurrences) {
-            for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-                const std::vector<GraphTask> &tasks = occurrence.steps[step].tasks;
-                const std::ptrdiff_t placedCount = std::count_if(tasks.begin(), tasks.end(),
-                    [](const GraphTask &task) { return task.phase == TaskPhase::Placed; });
-                milliCores += static_cast<std::uint64_t>(placedCount)
-                    * reservationSize(graph.spec.steps[step]).milliCores;
-            }
-        }
-        headroom_.notePlaced(graph.spec.priority, milliCores, now);
-    }
-}
-
 Dispatcher::Dispatcher(const Parts &parts)
     : parts_(parts)
     , ticketClient_(parts.peers, parts.tickets, parts.self)
@@ -325,29 +304,6 @@
     return chosen;
 }
 
-/// Returns the demand with only as many tasks as leave the headroom for more urgent queues.
-StepDemand Dispatcher::limitToHeadroom(
-    StepDemand demand, const Graph &graph, Prospect prospect, MonotonicTime now) const
-{
-    const std::uint64_t size = reservationSize(*demand.spec).milliCores;
-    if (size == 0 || demand.spec->lasting) {
-        return demand;
-    }
-    const std::uint32_t priority = prospect == Prospect::Expired
-        ? std::numeric_limits<std::uint32_t>::max()
-        : graph.spec.priority;
-    const Fleet &fleet = supervisor_->fleet();
-    const std::uint64_t open = fleet.openMilliCores(demand.service);
-    const std::uint64_t kept =
-        fleet.usedMilliCores(demand.service) + headroom_.milliCoresFor(priority, open, now);
-    const std::uint64_t tasks = kept >= open ? 0 : (open - kept) / size;
-    if (demand.spec->gang && tasks < demand.waiting.size()) {
-        demand.waiting.clear();
-    }
-    demand.waiting.resize(std::min<std::size_t>(demand.waiting.size(), tasks));
-    return demand;
-}
-
 void Dispatcher::reservePlacements(const StepDemand &demand, const Graph &graph,
     const std::vector<FleetChoice> &chosen, MonotonicTime now)
 {
