--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -13,8 +13,10 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 DAEMON = os.path.join(ROOT, "target", "crocusmilld")
@@ -514,18 +516,15 @@
         return False
 
     async def leader(self):
-        """Returns the name of the core process whose address heartbeats are sent to."""
-        probe = Executor(self, "i-probe", self.net + "250:1", [], {"cpu": 0}, "none")
-        for target in self.control:
-            body = {"service": "none", "addr": self.net + "250:1", "zone": "z1", "version": "v1",
-                    "slots": 1, "state": "ready", "seq": int(time.monotonic() * 1000),
-                    "born": 1, "capacity": {"cpu": 1}, "labels": []}
-            status, answer = await request(
-                target, "POST", "/Instances.Heartbeat/" + probe.name, body, timeout=1.0)
-            if status == 200:
-                ip = json.loads(answer)["heartbeat_addr"].rsplit(":", 1)[0]
+        """Returns the name of the core process to which executors were told to send heartbeats."""
+        for _ in range(50):
+            told = [executor.heartbeat_address for executor in self.executors.values()
+                    if executor.life is not None and executor.heartbeat_address]
+            if told:
+                ip = max(set(told), key=told.count).rsplit(":", 1)[0]
                 return next(name for name, own in self.ips.items() if own == ip)
-        return None
+            await asyncio.sleep(0.1)
+        raise CannotRun("no executor was told where to send its heartbeats")
 
     async def add_executor(self, name, labels, capacity=None, service="svc", start=True):
         self.next_executor += 1
@@ -628,6 +627,7 @@
 def run(folder, scenario, **options):
     """Runs `scenario(cell, trouble)`, which returns the broken rules, and exits as a case does."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     cell = Cell(folder, keep_logs=os.environ.get("KEEP_LOGS") == "1", **options)
     code = 2
 
@@ -646,7 +646,8 @@
         if not broken:
             cell.record("HELD")
             print("HELD")
-    except (CannotRun, asyncio.TimeoutError) as error:
+    except Exception as error:  # a fault of the script is no broken rule
+        traceback.print_exc()
         cell.record("CANNOT RUN", repr(error))
         print("CANNOT RUN", repr(error))
     finally:
