Queues: a job belongs to the host and prefix where it was accepted

Callers saw: after a route was removed and came back under another name, GET and DELETE of jobs accepted before were answered 410, the count of waiting jobs left them out, and their waiting steps never started. They were ordered without a ticket, and refused, for ever.

Cause: a job is recorded with the name of its queue, and this name was looked up in the catalog in force. A missing name was read as "not this queue's job" and as "needs no ticket".

Change: the catalog keeps removed queues while jobs name them, and a job's queue is found by the address of the queue it was accepted at. While no route has that address, the job runs on the terms of the removed queue. A name that moves to another address no longer takes the jobs with it.

--- a/include/crocusmill/catalog.h
+++ b/include/crocusmill/catalog.h
@@ -5,6 +5,7 @@
 #include <crocusmill/ids.h>
 #include <crocusmill/taskgraph.h>
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -33,18 +34,44 @@
     Milliseconds aim {0};
     Milliseconds timeout {0}; // of one request
     std::optional<TicketTiming> tickets;
+
+    /// Returns whether clients reach both queues by the same host and prefix.
+    [[nodiscard]] bool hasSameAddress(const Queue &other) const;
 };
 
+/// A queue's jobs are renamed because another queue has taken its name.
+struct QueueRenaming
+{
+    QueueName from;
+    QueueName to;
+};
+
+/// Jobs are recorded with the name that their queue had when they were accepted. Host and prefix
+/// identify a queue to its clients, and a later version may use another name for them.
 struct Catalog
 {
     DocumentVersion version; // zero: none in force yet
     std::vector<Queue> queues;
     /// Document as sent by the operator, returned to operators that read it.
     std::string source;
+    /// Queues that are not in the document any more, as they were last. They accept no requests.
+    // Invariant: none has the name of another removed queue or of one in `queues`.
+    std::vector<Queue> removedQueues;
 
     /// Returns the queue of `host` with the longest prefix of `path`, or null.
     [[nodiscard]] const Queue *find(std::string_view host, std::string_view path) const;
     [[nodiscard]] const Queue *find(const QueueName &name) const;
+    /// Returns the queue of the jobs that are recorded with `name`: the one that now has the
+    /// address of the queue they were accepted at. While there is none, returns the removed queue.
+    /// Returns null for an unknown name.
+    [[nodiscard]] const Queue *queueOfJobs(const QueueName &name) const;
+    /// Returns the names with which jobs of `queue`, an element of `queues`, may be recorded.
+    [[nodiscard]] std::vector<QueueName> jobNamesOf(const Queue &queue) const;
+
+    /// Puts `next` in force. Queues that it lacks become removed queues; those removed before are
+    /// dropped unless `hasJobs`. Returns the names to replace in the recorded jobs.
+    std::vector<QueueRenaming> replaceWith(
+        Catalog next, const std::function<bool(const QueueName &)> &hasJobs);
 };
 
 /// Puts a catalog in force unless the current version is the same or higher.
--- a/include/crocusmill/graphregistry.h
+++ b/include/crocusmill/graphregistry.h
@@ -7,6 +7,7 @@
 #include <crocusmill/copyonwrite.h>
 #include <crocusmill/taskgraph.h>
 
+#include <cstddef>
 #include <deque>
 #include <map>
 #include <memory>
@@ -89,6 +90,8 @@
     /// Like forget(), for the graphs that ended up to `last`. No effect if no graph of this id
     /// ended at `endedAt`.
     void forgetUpTo(const GraphId &last, WallTime endedAt);
+    /// Records the jobs of one queue with another name, which must not be in use.
+    void renameQueue(const QueueName &from, const QueueName &to);
     /// Returns the graph that ended last and was not removed, or null.
     [[nodiscard]] const Graph *newestEnded() const;
 
@@ -98,6 +101,8 @@
     [[nodiscard]] const std::set<GraphId> &waitingGraphs() const;
     /// Returns the open graphs that have not started, by queue. Queues without any are left out.
     [[nodiscard]] const std::map<QueueName, std::set<GraphId>> &unstartedGraphs() const;
+    /// Returns whether a graph, open or ended, is recorded with this queue name.
+    [[nodiscard]] bool hasGraphsOf(const QueueName &queue) const;
     /// Returns the revision of the newest change.
     [[nodiscard]] GraphRevision revision() const;
     /// Returns the graphs that changed after `revision`, each once, in the order of their newest
@@ -131,6 +136,8 @@
     std::set<GraphId> waitingGraphs_;
     // Invariant: contains the ids of the open graphs that have not started, and no empty set.
     std::map<QueueName, std::set<GraphId>> unstartedGraphs_;
+    // Invariant: the number of graphs recorded with each queue name; no number is zero.
+    std::map<QueueName, std::size_t> graphCounts_;
     // Invariant: contains every other graph once, in the order of ending.
     std::deque<GraphId> endedGraphs_;
     GraphRevision revision_;
--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -154,7 +154,7 @@
     if (graph->state != GraphState::Open) {
         forgetTickets(id);
     }
-    const Queue *queue = parts_.journal.state().catalog().find(graph->spec.queue);
+    const Queue *queue = parts_.journal.state().catalog().queueOfJobs(graph->spec.queue);
     const bool needsTickets = queue != nullptr && queue->tickets;
     queue_.update(*graph, needsTickets ? ticketQueuesOf(queue->name) : TicketQueueMask {}, wall);
 }
@@ -212,7 +212,7 @@
     std::uint64_t queues = 0;
     const TicketQueueMask waitingQueues = queue_.queuesWaitingToAsk();
     for (const std::pair<const QueueName, TicketQueueMask> &entry : ticketQueues_) {
-        const Queue *queue = parts_.journal.state().catalog().find(entry.first);
+        const Queue *queue = parts_.journal.state().catalog().queueOfJobs(entry.first);
         const bool canAsk = queue != nullptr && queue->tickets
             && ticketClient_.canAsk(termsOf(*queue, waitingQueues), minAskedWorkers, now);
         queues |= canAsk ? entry.second.value() : 0;
@@ -279,7 +279,7 @@
         supervisor_->claims().release(step);
         return {};
     }
-    const Queue *queue = parts_.journal.state().catalog().find(graph->spec.queue);
+    const Queue *queue = parts_.journal.state().catalog().queueOfJobs(graph->spec.queue);
     if (queue != nullptr && queue->tickets) {
         return placeWithTickets(demand, *graph, *queue, prospect, now);
     }
--- a/src/services/dispatchlogs.cpp
+++ b/src/services/dispatchlogs.cpp
@@ -33,8 +33,9 @@
     nextLoadReport_ = now + loadReportInterval;
     logLoad(now);
     const StateMachine &state = parts_.journal.state();
-    jobReport_.report(countJobs(state.graphs(), supervisor_->begunJobs(), wallTimeNow()),
-        parts_.term, parts_.journal.consensus()->appliedIndex());
+    JobCensus census = countJobs(state.graphs(), supervisor_->begunJobs(), wallTimeNow());
+    mergeRenamedQueues(census, state.catalog());
+    jobReport_.report(census, parts_.term, parts_.journal.consensus()->appliedIndex());
 }
 
 void Dispatcher::logLoad(MonotonicTime now)
--- a/src/services/dispatchtickets.cpp
+++ b/src/services/dispatchtickets.cpp
@@ -152,7 +152,7 @@
         if (!isWaiting || entry.first == queue.name) {
             continue;
         }
-        const Queue *other = parts_.journal.state().catalog().find(entry.first);
+        const Queue *other = parts_.journal.state().catalog().queueOfJobs(entry.first);
         const bool asksLong = other != nullptr && other->tickets
             && TicketClient::isLong(*other->tickets, minAskedWorkers);
         terms.otherWaitingQueues += asksLong ? 1 : 0;
@@ -258,7 +258,7 @@
     if (graph == nullptr || !tickets_.permissionsOf(step).empty()) {
         return true;
     }
-    const Queue *queue = parts_.journal.state().catalog().find(graph->spec.queue);
+    const Queue *queue = parts_.journal.state().catalog().queueOfJobs(graph->spec.queue);
     if (queue == nullptr || !queue->tickets) {
         return true;
     }
--- a/src/services/graphcallhandler.cpp
+++ b/src/services/graphcallhandler.cpp
@@ -108,14 +108,19 @@
 const Graph *GraphCallHandler::find(const Queue &queue, const GraphId &id) const
 {
     const Graph *graph = journal_.state().graphs().find(id);
-    return graph != nullptr && graph->spec.queue == queue.name ? graph : nullptr;
+    if (graph == nullptr) {
+        return nullptr;
+    }
+    const bool isOfQueue = graph->spec.queue == queue.name
+        || journal_.state().catalog().queueOfJobs(graph->spec.queue) == &queue;
+    return isOfQueue ? graph : nullptr;
 }
 
 void GraphCallHandler::show(const Queue &queue, const GraphId &id, const ReplyHandler &done)
 {
     GraphReply reply;
     if (id.value().empty()) {
-        reply.pending = pendingJobCount(queue.name);
+        reply.pending = pendingJobCount(queue);
         if (onPendingJobsTold_) {
             onPendingJobsTold_(queue.name, *reply.pending);
         }
@@ -124,8 +129,10 @@
     }
     const Graph *graph = find(queue, id);
     if (graph == nullptr) {
+        const Graph *other = journal_.state().graphs().find(id);
         logInfo("job.unknown",
             {{"job", id.value()}, {"queue", queue.name.value()},
+                {"recorded_queue", other == nullptr ? "" : other->spec.queue.value()},
                 {"applied", journal_.consensus()->appliedIndex().value()}});
         done(Reply {replyWith(GraphOutcome::NoJob)});
         return;
@@ -156,12 +163,16 @@
         });
 }
 
-std::uint64_t GraphCallHandler::pendingJobCount(const QueueName &queue) const
+std::uint64_t GraphCallHandler::pendingJobCount(const Queue &queue) const
 {
     const std::map<QueueName, std::set<GraphId>> &unstarted =
         journal_.state().graphs().unstartedGraphs();
-    const auto found = unstarted.find(queue);
-    return found == unstarted.end() ? 0 : found->second.size();
+    std::uint64_t count = 0;
+    for (const QueueName &name : journal_.state().catalog().jobNamesOf(queue)) {
+        const auto found = unstarted.find(name);
+        count += found == unstarted.end() ? 0 : found->second.size();
+    }
+    return count;
 }
 
 void GraphCallHandler::handle(const CatalogCall &call, const ReplyHandler &done)
@@ -179,9 +190,11 @@
                 return;
             }
             const DocumentVersion inForce = journal_.state().catalog().version;
+            const std::size_t removed = journal_.state().catalog().removedQueues.size();
             logInfo("catalog.installed",
                 {{"version", version.value()}, {"in_force", inForce.value()},
-                    {"changed", !reply.value().repeated}});
+                    {"changed", !reply.value().repeated},
+                    {"removed_queues", std::uint64_t {removed}}});
             done(Reply {CatalogReply {inForce, {}}});
         });
 }
--- a/src/services/graphcallhandler.h
+++ b/src/services/graphcallhandler.h
@@ -26,7 +26,8 @@
         const GraphCall &call, const Queue &queue, const GraphId &id, const ReplyHandler &done);
     void show(const Queue &queue, const GraphId &id, const ReplyHandler &done);
     void cancel(const Queue &queue, const GraphId &id, const ReplyHandler &done);
-    [[nodiscard]] std::uint64_t pendingJobCount(const QueueName &queue) const;
+    [[nodiscard]] std::uint64_t pendingJobCount(const Queue &queue) const;
+    /// Returns the job if it was accepted at the host and prefix of the queue.
     [[nodiscard]] const Graph *find(const Queue &queue, const GraphId &id) const;
 
     Journal &journal_;
--- a/src/services/jobcensus.cpp
+++ b/src/services/jobcensus.cpp
@@ -111,6 +111,21 @@
     return census;
 }
 
+void mergeRenamedQueues(JobCensus &census, const Catalog &catalog)
+{
+    std::map<QueueName, JobCounts> merged;
+    for (const std::pair<const QueueName, JobCounts> &entry : census.queues) {
+        const Queue *queue = catalog.queueOfJobs(entry.first);
+        JobCounts &counts = merged[queue == nullptr ? entry.first : queue->name];
+        counts.open += entry.second.open;
+        counts.neverPlaced += entry.second.neverPlaced;
+        counts.placed += entry.second.placed;
+        counts.waitingAgain += entry.second.waitingAgain;
+        counts.waitingLong += entry.second.waitingLong;
+    }
+    census.queues = std::move(merged);
+}
+
 JobReport::JobReport(Metrics &metrics)
     : metrics_(metrics)
 {
--- a/src/services/jobcensus.h
+++ b/src/services/jobcensus.h
@@ -7,6 +7,7 @@
 
 #include "src/net/metrics.h"
 
+#include <crocusmill/catalog.h>
 #include <crocusmill/commands.h>
 #include <crocusmill/graphregistry.h>
 
@@ -47,6 +48,9 @@
 [[nodiscard]] JobCensus countJobs(
     const GraphRegistry &graphs, const std::set<GraphId> &begunJobs, WallTime now);
 
+/// Moves the counts of names that queues had when their jobs were accepted to the present names.
+void mergeRenamedQueues(JobCensus &census, const Catalog &catalog);
+
 /// Writes a "jobs.counted" record for the counts that clients were told since the last one.
 class JobReport
 {
--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -134,7 +134,8 @@
     if (leftOut) {
         logInfo("run.refused",
             {{"task", asText(task)}, {"worker", worker.value()},
-                {"orders", std::uint64_t {run.sentOrderCount}}, {"left_out", *leftOut}});
+                {"orders", std::uint64_t {run.sentOrderCount}}, {"ticket", run.ticket.has_value()},
+                {"left_out", *leftOut}});
     }
 }
 
--- a/src/state/codec.cpp
+++ b/src/state/codec.cpp
@@ -5,6 +5,8 @@
 
 #include <crocusmill/statemachine.h>
 
+#include <algorithm>
+
 namespace crocusmill
 {
 
@@ -36,6 +38,36 @@
         leaving))
 BOOST_DESCRIBE_STRUCT(SnapshotContents, (), (head, work, jobs, graphs))
 
+/// Marks a removed queue among the queues of a snapshot. No path begins with it, so versions that
+/// do not know removed queues find such a queue by its name only.
+constexpr std::string_view removedMark = "removed:";
+
+/// Returns the catalog with its removed queues among the others, as snapshots have them.
+Catalog withMarkedQueues(const Catalog &catalog)
+{
+    Catalog marked = catalog;
+    for (Queue &queue : marked.removedQueues) {
+        queue.prefix.insert(0, removedMark);
+        marked.queues.push_back(std::move(queue));
+    }
+    marked.removedQueues.clear();
+    return marked;
+}
+
+/// Reverses withMarkedQueues().
+Catalog withoutMarkedQueues(Catalog marked)
+{
+    Catalog catalog = std::move(marked);
+    const auto firstMarked = std::stable_partition(catalog.queues.begin(), catalog.queues.end(),
+        [](const Queue &queue) { return !queue.prefix.starts_with(removedMark); });
+    for (auto queue = firstMarked; queue != catalog.queues.end(); ++queue) {
+        queue->prefix.erase(0, removedMark.size());
+        catalog.removedQueues.push_back(std::move(*queue));
+    }
+    catalog.queues.erase(firstMarked, catalog.queues.end());
+    return catalog;
+}
+
 /// Encodes record by record, as a JSON tree of all records would take many times the text's size.
 template <typename T>
 void appendRecords(std::string &text, const std::vector<std::shared_ptr<const T>> &records)
@@ -83,7 +115,8 @@
 std::string encodeImage(const StateImage &image)
 {
     const SnapshotHeader head {image.configurationIndex, image.environments, image.quarantined,
-        image.drainedUpstreams, image.drainedWorkers, image.catalog, image.leaving};
+        image.drainedUpstreams, image.drainedWorkers, withMarkedQueues(image.catalog),
+        image.leaving};
     std::string text = "{\"head\":" + encodeStruct(head) + ",\"work\":";
     appendRecords(text, image.work);
     text += ",\"jobs\":";
@@ -140,7 +173,7 @@
     restored.quarantinedWorkers_.insert(head.quarantined.begin(), head.quarantined.end());
     restored.drainedUpstreams_.insert(head.drainedUpstreams.begin(), head.drainedUpstreams.end());
     restored.drainedWorkers_.insert(head.drainedWorkers.begin(), head.drainedWorkers.end());
-    restored.catalog_ = std::move(head.catalog);
+    restored.catalog_ = withoutMarkedQueues(std::move(head.catalog));
     for (const NoteLeaving &entry : head.leaving) {
         restored.leavingWorkers_[entry.worker] = entry;
     }
--- a/src/state/graphregistry.cpp
+++ b/src/state/graphregistry.cpp
@@ -55,6 +55,7 @@
     openGraphs_.insert(command.spec.id);
     waitingGraphs_.insert(command.spec.id);
     unstartedGraphs_[command.spec.queue].insert(command.spec.id);
+    ++graphCounts_[command.spec.queue];
     recordChange(command.spec.id);
     return true;
 }
@@ -326,10 +327,32 @@
     const auto entry = revisionByGraph_.find(endedGraphs_.front());
     graphByRevision_.erase(entry->second);
     revisionByGraph_.erase(entry);
-    graphs_.erase(endedGraphs_.front());
+    const auto graph = graphs_.find(endedGraphs_.front());
+    const auto count = graphCounts_.find(graph->second->spec.queue);
+    if (--count->second == 0) {
+        graphCounts_.erase(count);
+    }
+    graphs_.erase(graph);
     endedGraphs_.pop_front();
 }
 
+void GraphRegistry::renameQueue(const QueueName &from, const QueueName &to)
+{
+    for (std::pair<const GraphId, CopyOnWrite<Graph>> &entry : graphs_) {
+        if (entry.second->spec.queue == from) {
+            entry.second.edit().spec.queue = to;
+        }
+    }
+    if (auto unstarted = unstartedGraphs_.extract(from)) {
+        unstarted.key() = to;
+        unstartedGraphs_.insert(std::move(unstarted));
+    }
+    if (auto count = graphCounts_.extract(from)) {
+        count.key() = to;
+        graphCounts_.insert(std::move(count));
+    }
+}
+
 const Graph *GraphRegistry::find(const GraphId &id) const
 {
     const auto it = graphs_.find(id);
@@ -351,6 +374,11 @@
     return unstartedGraphs_;
 }
 
+bool GraphRegistry::hasGraphsOf(const QueueName &queue) const
+{
+    return graphCounts_.contains(queue);
+}
+
 GraphRevision GraphRegistry::revision() const
 {
     return revision_;
@@ -392,11 +420,13 @@
     openGraphs_.clear();
     waitingGraphs_.clear();
     unstartedGraphs_.clear();
+    graphCounts_.clear();
     endedGraphs_.clear();
     graphByRevision_.clear();
     revisionByGraph_.clear();
     for (Graph &graph : graphs) {
         const GraphId id = graph.spec.id;
+        ++graphCounts_[graph.spec.queue];
         if (graph.state == GraphState::Open) {
             openGraphs_.insert(id);
             if (!graph.started) {
--- a/src/state/graphs.cpp
+++ b/src/state/graphs.cpp
@@ -22,7 +22,11 @@
 {
     const bool isNewerVersion = command.catalog.version > catalog_.version;
     if (isNewerVersion) {
-        catalog_ = command.catalog;
+        const std::vector<QueueRenaming> renamings = catalog_.replaceWith(
+            command.catalog, [this](const QueueName &name) { return graphs_.hasGraphsOf(name); });
+        for (const QueueRenaming &renaming : renamings) {
+            graphs_.renameQueue(renaming.from, renaming.to);
+        }
     }
     return changeReply(isNewerVersion);
 }
