Workers: a process known only from its list gets no tasks

Callers saw: tasks started on workers without the label that they ask for, after those had crashed and come back under their ids as another kind.

Cause: when a list of runs came from a newer process than the known one, the leader opened the worker with the last heartbeat of the earlier process: its labels, service and capacity. It also handed this made-up heartbeat on to the next leader.

Change: such a worker stays closed until the first heartbeat of its present process, and is not handed on to the next leader. Its runs are held and stopped as before. worker.undescribed records it.

Test: workerevidence, "a process known only from its list got tasks by the labels of its predecessor". Before, it fails in 6 checks.

--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -126,7 +126,11 @@
         return;
     }
     if (!outcome.error && answering != incarnation) {
-        // A new process answered before its first heartbeat arrived.
+        // A new process answered before its first heartbeat arrived. Its kind is unknown until
+        // then, so it gets no tasks.
+        logInfo("worker.undescribed",
+            {{"worker", id.value()}, {"incarnation", answering.value()},
+                {"previous", incarnation.value()}});
         WorkerHeartbeat other = worker.heartbeat;
         other.incarnation = answering;
         other.sequence = 0;
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -180,6 +180,9 @@
     {
         WorkerHeartbeat heartbeat;
         bool hasIncarnation = false; // a process under this id was heard
+        // The present process has sent `heartbeat`. Otherwise it is known only from its list, and
+        // `heartbeat` is that of an earlier process, which may have been of another kind.
+        bool hasHeartbeat = false;
         MonotonicTime lastHeartbeatAt {};
         WorkerClock clock;
         // Invariant: every lease that any leader gave this incarnation has expired by then.
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -62,7 +62,7 @@
 {
     Worker &worker = findOrAddWorker(heartbeat.id);
     const std::optional<Incarnation> newest = newestIncarnation(worker);
-    const bool isRepeated = worker.hasIncarnation
+    const bool isRepeated = worker.hasHeartbeat
         && worker.heartbeat.incarnation == heartbeat.incarnation
         && heartbeat.sequence <= worker.heartbeat.sequence;
     if (isRepeated || (newest && isNewer(*newest, heartbeat.incarnation))) {
@@ -85,6 +85,7 @@
         worker.leavesAt.reset();
     }
     worker.heartbeat = heartbeat;
+    worker.hasHeartbeat = true;
     worker.lastHeartbeatAt = now;
     if (heartbeat.clock) {
         worker.clock.recordReading(*heartbeat.clock, now);
@@ -97,7 +98,7 @@
 {
     std::vector<WorkerHeartbeat> heartbeats;
     for (const std::pair<const WorkerId, Worker> &entry : workers_) {
-        if (entry.second.hasIncarnation && !entry.second.leavesAt) {
+        if (entry.second.hasHeartbeat && !entry.second.leavesAt) {
             heartbeats.push_back(entry.second.heartbeat);
             // A clock reading is useless once it is old, and the next heartbeat brings a new one.
             heartbeats.back().clock.reset();
@@ -145,6 +146,7 @@
     worker.backoffUntil = {};
     health_.forget(heartbeat.id);
     worker.heartbeat = heartbeat;
+    worker.hasHeartbeat = false;
     worker.hasIncarnation = true;
     recoverySteps_.reach(RecoveryStep::WorkerHeard, now);
 }
@@ -227,7 +229,7 @@
 bool RunSupervisor::isOpen(const Worker &worker, MonotonicTime now) const
 {
     const WorkerHeartbeat &heartbeat = worker.heartbeat;
-    return isAvailable(worker, now) && !heartbeat.draining
+    return isAvailable(worker, now) && worker.hasHeartbeat && !heartbeat.draining
         && !parts_.state.isLeaving(heartbeat.id, heartbeat.incarnation)
         && health_.isUsable(heartbeat.id, workers_.size(), now);
 }
--- a/test/workerevidence.cpp
+++ b/test/workerevidence.cpp
@@ -110,6 +110,41 @@
     CHECK(fixture.link.holds.back().worker.incarnation == firstIncarnation);
 }
 
+// Guards against tasks that start on a process that lacks their label, since the leader knows the
+// process only from its list and takes it for one of the kind that its predecessor had.
+TEST_CASE("a process known only from its list got tasks by the labels of its predecessor")
+{
+    Fixture fixture;
+    fixture.receiveHeartbeat();
+    fixture.link.answerHold({});
+    REQUIRE(fixture.supervisor->fleet().find(worker)->isOpen);
+    const WorkerLink::HoldHandler done = fixture.link.holds.back().done;
+    HoldOutcome outcome;
+    outcome.clock = WorkerTime {5};
+    outcome.report.incarnation = secondIncarnation;
+    done(outcome);
+    fixture.link.answerHold({}); // it answers the next hold as well
+    fixture.tick(Milliseconds {100});
+    CHECK(fixture.link.holds.back().worker.incarnation == secondIncarnation);
+    CHECK_FALSE(fixture.supervisor->fleet().find(worker)->isOpen);
+    SECTION("until its first heartbeat, whatever its number")
+    {
+        fixture.receiveHeartbeat(secondIncarnation, GENERATE(0U, 1U));
+        CHECK(fixture.supervisor->fleet().find(worker)->isOpen);
+    }
+    SECTION("a late heartbeat of its predecessor does not open it")
+    {
+        fixture.receiveHeartbeat(firstIncarnation, 9);
+        CHECK_FALSE(fixture.supervisor->fleet().find(worker)->isOpen);
+    }
+    SECTION("the next leader does not learn its kind from this one")
+    {
+        for (const WorkerHeartbeat &heartbeat : fixture.supervisor->callableWorkers()) {
+            CHECK(heartbeat.incarnation != secondIncarnation);
+        }
+    }
+}
+
 TEST_CASE("a leaving worker is gone once its host refuses connections")
 {
     Fixture fixture;
