Orders: no start is sent to a worker that has begun to leave

Callers saw: tasks started on workers up to 4.5 s after their draining was acknowledged, where 2 s are allowed.

Cause: only placement asked whether a worker leaves. A start without an answer was sent again about every 80 ms, and one that could not be sent does not count towards the limit of orders.

Change: each sending of a start asks. A run without any order ends as not started and is placed elsewhere at once; a run whose start may have been carried out is stopped and settled as before. run.taken_back records it.

Test: workerevidence, two cases. Before, both fail. After: all 62 tests that are not live pass; the live ones were not run on this commit yet.

--- a/src/services/runlogs.cpp
+++ b/src/services/runlogs.cpp
@@ -67,6 +67,8 @@
         return "start_refused";
     case EndReason::WorkerReplaced:
         return "worker_replaced";
+    case EndReason::WorkerLeaving:
+        return "worker_leaving";
     case EndReason::NeverOrdered:
         return "never_ordered";
     }
--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -39,6 +39,10 @@
         run.nextOrderAt = now + parts_.times.maxOrderPause;
         return;
     }
+    if (!mayBeginRuns(worker)) {
+        takeBackStart(task, run, now);
+        return;
+    }
     if (!run.deadline) {
         run.deadline = grantLease(worker, now);
     }
@@ -72,6 +76,21 @@
         });
 }
 
+/// Ends a run whose worker began to leave before its start was answered. A start that may have been
+/// carried out is stopped first.
+void RunSupervisor::takeBackStart(const TaskRef &task, Run &run, MonotonicTime now)
+{
+    logInfo("run.taken_back",
+        {{"task", asText(task)}, {"worker", run.placement.worker.value()},
+            {"orders", std::uint64_t {run.sentOrderCount}}});
+    if (run.sentOrderCount == 0) {
+        recordInferredEnds({makeEnd(run, RunEnd::NotStarted)}, EndReason::WorkerLeaving);
+        return;
+    }
+    setStage(run, Stage::Stopping);
+    run.nextOrderAt = now;
+}
+
 void RunSupervisor::onStartAnswered(
     const TaskRef &task, RunNumber number, const WorkerId &id, StartOutcome outcome)
 {
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -221,6 +221,8 @@
     void replaceIncarnation(Worker &worker, const WorkerHeartbeat &heartbeat, MonotonicTime now);
     void onIncarnationGone(const WorkerId &id, const Incarnation &incarnation);
     void updateFleet(const Worker &worker, MonotonicTime now);
+    /// Returns whether the worker may begin runs: its process is known and does not leave.
+    [[nodiscard]] bool mayBeginRuns(const Worker &worker) const;
     [[nodiscard]] bool isOpen(const Worker &worker, MonotonicTime now) const;
     [[nodiscard]] bool canGetLease(const Worker &worker, MonotonicTime now) const;
     [[nodiscard]] Milliseconds maxLeaseLifetime() const;
@@ -257,6 +259,7 @@
     void onEndsRecorded(const EndList &list);
 
     void sendStart(const TaskRef &task, Run &run, MonotonicTime now);
+    void takeBackStart(const TaskRef &task, Run &run, MonotonicTime now);
     void logRefusedStart(const TaskRef &task, const Run &run, MonotonicTime now);
     void onStartAnswered(
         const TaskRef &task, RunNumber number, const WorkerId &id, StartOutcome outcome);
@@ -276,6 +279,7 @@
         IncarnationGone, // another process answers at the address
         StartRefused,
         WorkerReplaced, // before the start was sent
+        WorkerLeaving, // the same
         NeverOrdered, // no start was sent: not needed any more, or the placement may be unrecorded
     };
     [[nodiscard]] static std::string_view text(EndReason reason);
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -208,7 +208,7 @@
 {
     const bool areFailuresCommon =
         fastFailureCount_ * minWorkersPerFastFailure > workers_.size() && worker.failsFast;
-    return worker.hasIncarnation && !worker.leavesAt
+    return worker.hasIncarnation
         && (worker.unansweredHoldCount < minHoldsToSuspect || areFailuresCommon)
         && worker.answeredHoldSentAt != MonotonicTime {}
     && now - worker.answeredHoldSentAt <= parts_.times.unresponsiveTimeout
@@ -226,12 +226,17 @@
     }
 }
 
-bool RunSupervisor::isOpen(const Worker &worker, MonotonicTime now) const
+bool RunSupervisor::mayBeginRuns(const Worker &worker) const
 {
     const WorkerHeartbeat &heartbeat = worker.heartbeat;
-    return isAvailable(worker, now) && worker.hasHeartbeat && !heartbeat.draining
-        && !parts_.state.isLeaving(heartbeat.id, heartbeat.incarnation)
-        && health_.isUsable(heartbeat.id, workers_.size(), now);
+    return worker.hasHeartbeat && !worker.leavesAt && !heartbeat.draining
+        && !parts_.state.isLeaving(heartbeat.id, heartbeat.incarnation);
+}
+
+bool RunSupervisor::isOpen(const Worker &worker, MonotonicTime now) const
+{
+    return isAvailable(worker, now) && mayBeginRuns(worker)
+        && health_.isUsable(worker.heartbeat.id, workers_.size(), now);
 }
 
 void RunSupervisor::updateFleet(const Worker &worker, MonotonicTime now)
--- a/test/workerevidence.cpp
+++ b/test/workerevidence.cpp
@@ -145,6 +145,49 @@
     }
 }
 
+// Guards against tasks that start on a worker seconds after its draining was acknowledged, since a
+// start that had no answer is sent again without a look at the worker.
+TEST_CASE("a start was sent again after the draining of its worker was acknowledged")
+{
+    Fixture fixture;
+    fixture.startRun();
+    const bool isSent = GENERATE(true, false);
+    fixture.link.answerStart(isSent ? StartOutcome::Unanswered : StartOutcome::NotSent);
+    const bool isOwnHeartbeat = GENERATE(true, false);
+    if (isOwnHeartbeat) {
+        WorkerHeartbeat draining;
+        draining.id = worker;
+        draining.incarnation = firstIncarnation;
+        draining.sequence = 2;
+        draining.draining = true;
+        fixture.supervisor->onHeartbeat(draining, monotonicNow());
+    }
+    fixture.state.apply(NoteLeaving {worker, firstIncarnation, wall}, LogIndex {++fixture.index});
+    fixture.tickUntil(Milliseconds {2'000});
+    CHECK(fixture.link.starts.size() == 1);
+    if (isSent) {
+        CHECK_FALSE(fixture.link.stops.empty());
+        CHECK(fixture.phase() == TaskPhase::Placed); // it may have been carried out
+    } else {
+        CHECK(fixture.link.stops.empty());
+        CHECK(fixture.phase() == TaskPhase::Waiting);
+        CHECK_FALSE(fixture.supervisor->hasRun(task));
+    }
+}
+
+TEST_CASE("a start was sent although its worker began to leave while the placement was recorded")
+{
+    Fixture fixture;
+    fixture.receiveHeartbeat();
+    fixture.link.answerHold({});
+    fixture.supervisor->reserve({task, RunNumber {1}, worker, firstIncarnation}, stepOf(1));
+    fixture.recordPlacement();
+    fixture.state.apply(NoteLeaving {worker, firstIncarnation, wall}, LogIndex {++fixture.index});
+    fixture.supervisor->start(task, std::nullopt, monotonicNow());
+    CHECK(fixture.link.starts.empty());
+    CHECK(fixture.phase() == TaskPhase::Waiting);
+}
+
 TEST_CASE("a leaving worker is gone once its host refuses connections")
 {
     Fixture fixture;
