--- a/include/crocusmill/catalog.h
+++ b/include/crocusmill/catalog.h
@@ -39,7 +39,8 @@
     [[nodiscard]] bool hasSameAddress(const Queue &other) const;
 };
 
-/// A queue's jobs are renamed because another queue has taken its name.
+/// The jobs that are recorded with the queue name `from` are to be recorded with `to`, as another
+/// queue has taken their name.
 struct QueueRenaming
 {
     QueueName from;
@@ -54,7 +55,8 @@
     std::vector<Queue> queues;
     /// Document as sent by the operator, returned to operators that read it.
     std::string source;
-    /// Queues that are not in the document any more, as they were last. They accept no requests.
+    /// Queues that are not in the document any more, as they were last. They accept no requests,
+    /// and their jobs run on their terms.
     // Invariant: none has the name of another removed queue or of one in `queues`.
     std::vector<Queue> removedQueues;
 
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -279,7 +279,7 @@
         IncarnationGone, // another process answers at the address
         StartRefused,
         WorkerReplaced, // before the start was sent
-        WorkerLeaving, // the same
+        WorkerLeaving, // it began to leave before a start was sent
         NeverOrdered, // no start was sent: not needed any more, or the placement may be unrecorded
     };
     [[nodiscard]] static std::string_view text(EndReason reason);
--- a/test/live/platformcell.cpp
+++ b/test/live/platformcell.cpp
@@ -171,12 +171,18 @@
 
 bool PlatformCell::installQueue() const
 {
-    const std::string document =
-        R"({"version":1,"routes":[{"name":"jobs","host":"rocola.test","prefix":"/jobs/",)"
-        R"("kind":"unsafe","timeout_ms":3000,"slo_ms":250,"prio":0,"service":"service",)"
-        R"("attempts":4,"slack_factor":1.5,)"
-        R"("hint":{"decision_ms":10.0,"period_ms":0.0,"validity_ms":2000}}],)"
-        R"("services":[{"name":"service"}]})";
+    return installQueue(1, "jobs");
+}
+
+bool PlatformCell::installQueue(std::uint64_t version, const std::string &name) const
+{
+    const std::string route = R"({"name":")" + name
+        + R"(","host":"rocola.test","prefix":"/jobs/",)"
+          R"("kind":"unsafe","timeout_ms":3000,"slo_ms":250,"prio":0,"service":"service",)"
+          R"("attempts":4,"slack_factor":1.5,)"
+          R"("hint":{"decision_ms":10.0,"period_ms":0.0,"validity_ms":2000}})";
+    const std::string document = R"({"version":)" + std::to_string(version) + R"(,"routes":[)"
+        + (name.empty() ? "" : route) + R"(],"services":[{"name":"service"}]})";
     return eventually([this, &document]() {
         return httpRequest({ipOf(1), controlPort}, "POST", "/Config.Replace", document).status
             == 200;
--- a/test/live/platformcell.h
+++ b/test/live/platformcell.h
@@ -44,6 +44,8 @@
         const std::string &target, const std::string &body = {}) const;
     /// Installs the document with one queue, `/jobs/`, until it is acknowledged.
     [[nodiscard]] bool installQueue() const;
+    /// The same with a version of the document that gives the queue this name; empty: no queue.
+    [[nodiscard]] bool installQueue(std::uint64_t version, const std::string &name) const;
 
     struct LogLine
     {
--- a/test/live/platformworkers.cpp
+++ b/test/live/platformworkers.cpp
@@ -220,6 +220,9 @@
             return conflict("fence");
         }
         deadline_ = std::max(deadline_, numberOf(body, "deadline_ms"));
+        if (!body.contains("ticket")) {
+            return conflict("ticket"); // all queues of PlatformCell need tickets
+        }
         const auto running = running_.find(task);
         const bool isRunning = running != running_.end() && running->second.number == number;
         site_.record({WorkerEvent::Kind::Start, id_, task, monotonicNow(), !isRunning});
