Jobs: what clients make replicas store is bounded

Change: a payload has at most 4,000 bytes, as the platform's pages say, a label, rack or image 256, an id 64, a step 256 predecessors. With 300,000 open tasks the leader refuses further jobs with Retry-After, before anything is recorded, so "not run" is true. job.refused_full records it, at most once a second for each queue.

Tests: platformwire, "a job with more text than clients may send was accepted"; queuenames, "more tasks were accepted than replicas can hold". On the code before, the first accepts the payload of 4,001 bytes and the second accepts the seventh job: no check for either existed.

--- a/include/crocusmill/graphregistry.h
+++ b/include/crocusmill/graphregistry.h
@@ -103,6 +103,8 @@
     [[nodiscard]] const std::map<QueueName, std::set<GraphId>> &unstartedGraphs() const;
     /// Returns whether a graph, open or ended, is recorded with this queue name.
     [[nodiscard]] bool hasGraphsOf(const QueueName &queue) const;
+    /// Returns the number of tasks of the open graphs.
+    [[nodiscard]] std::uint64_t openTaskCount() const;
     /// Returns the revision of the newest change.
     [[nodiscard]] GraphRevision revision() const;
     /// Returns the graphs that changed after `revision`, each once, in the order of their newest
@@ -140,6 +142,7 @@
     std::map<QueueName, std::size_t> graphCounts_;
     // Invariant: contains every other graph once, in the order of ending.
     std::deque<GraphId> endedGraphs_;
+    std::uint64_t openTaskCount_ = 0; // Invariant: the tasks of the graphs in openGraphs_
     GraphRevision revision_;
     // Invariant: contains each graph once, by its newest change; revisionByGraph_ is the inverse.
     std::map<GraphRevision, GraphId> graphByRevision_;
--- a/include/crocusmill/taskgraph.h
+++ b/include/crocusmill/taskgraph.h
@@ -74,6 +74,9 @@
     Milliseconds aim {0};
 };
 
+/// Returns the number of tasks of all steps and occurrences.
+[[nodiscard]] std::uint64_t taskCountOf(const GraphSpec &spec);
+
 struct TaskRef
 {
     GraphId graph;
--- a/src/services/graphcallhandler.cpp
+++ b/src/services/graphcallhandler.cpp
@@ -11,6 +11,14 @@
 namespace
 {
 
+/// The platform's ids have 16 digits.
+constexpr std::size_t maxIdBytes = 64;
+/// Each open task takes some 200 bytes in every replica.
+constexpr std::uint64_t maxOpenTasks = 300'000;
+/// A job that is refused for maxOpenTasks may fit once others have ended.
+constexpr Milliseconds fullRetryAfter {2'000};
+constexpr Milliseconds fullRecordInterval {1'000}; // between log records about one queue
+
 GraphReply replyWith(GraphOutcome outcome)
 {
     GraphReply reply;
@@ -38,6 +46,7 @@
 GraphCallHandler::GraphCallHandler(Journal &journal, std::function<void()> onChange)
     : journal_(journal)
     , onChange_(std::move(onChange))
+    , fullRecords_(fullRecordInterval)
 {
 }
 
@@ -83,6 +92,18 @@
         done(Reply {replyWith(GraphOutcome::Done)});
         return;
     }
+    if (id.value().empty() || id.value().size() > maxIdBytes) {
+        done(Reply {replyWith(GraphOutcome::InvalidId)});
+        return;
+    }
+    const GraphRegistry &graphs = journal_.state().graphs();
+    if (call.spec && graphs.openTaskCount() + taskCountOf(*call.spec) > maxOpenTasks) {
+        logFull(queue, graphs.openTaskCount());
+        GraphReply refusal = replyWith(GraphOutcome::Refused);
+        refusal.retryAfter = fullRetryAfter;
+        done(Reply {refusal});
+        return;
+    }
     SubmitGraph command;
     command.spec = call.spec.value_or(GraphSpec {});
     command.spec.id = id;
@@ -105,6 +126,16 @@
     });
 }
 
+void GraphCallHandler::logFull(const Queue &queue, std::uint64_t openTaskCount)
+{
+    const std::optional<std::uint64_t> leftOut =
+        fullRecords_.admit(queue.name.value(), monotonicNow());
+    if (leftOut) {
+        logWarning("job.refused_full",
+            {{"queue", queue.name.value()}, {"open_tasks", openTaskCount}, {"left_out", *leftOut}});
+    }
+}
+
 const Graph *GraphCallHandler::find(const Queue &queue, const GraphId &id) const
 {
     const Graph *graph = journal_.state().graphs().find(id);
--- a/src/services/graphcallhandler.h
+++ b/src/services/graphcallhandler.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "src/net/loglimiter.h"
 #include "src/services/interfaces.h"
 
 #include <functional>
@@ -26,12 +27,14 @@
         const GraphCall &call, const Queue &queue, const GraphId &id, const ReplyHandler &done);
     void show(const Queue &queue, const GraphId &id, const ReplyHandler &done);
     void cancel(const Queue &queue, const GraphId &id, const ReplyHandler &done);
+    void logFull(const Queue &queue, std::uint64_t openTaskCount);
     [[nodiscard]] std::uint64_t pendingJobCount(const Queue &queue) const;
     /// Returns the job if it was accepted at the host and prefix of the queue.
     [[nodiscard]] const Graph *find(const Queue &queue, const GraphId &id) const;
 
     Journal &journal_;
     std::function<void()> onChange_;
+    LogLimiter fullRecords_; // by queue
     std::function<void(const QueueName &, std::uint64_t)> onPendingJobsTold_; // may be empty
 };
 
--- a/src/state/graph.cpp
+++ b/src/state/graph.cpp
@@ -13,6 +13,15 @@
         + std::to_string(task.step) + "." + std::to_string(task.task);
 }
 
+std::uint64_t taskCountOf(const GraphSpec &spec)
+{
+    std::uint64_t tasks = 0;
+    for (const StepSpec &step : spec.steps) {
+        tasks += step.tasks;
+    }
+    return tasks * std::max(spec.recurrence.times, 1U);
+}
+
 bool GraphStep::hasSucceeded() const
 {
     return std::all_of(tasks.begin(), tasks.end(),
--- a/src/state/graphregistry.cpp
+++ b/src/state/graphregistry.cpp
@@ -53,6 +53,7 @@
     graph.occurrences.resize(times, makeOccurrence(command.spec));
     graphs_.emplace(command.spec.id, CopyOnWrite<Graph> {std::move(graph)});
     openGraphs_.insert(command.spec.id);
+    openTaskCount_ += taskCountOf(command.spec);
     waitingGraphs_.insert(command.spec.id);
     unstartedGraphs_[command.spec.queue].insert(command.spec.id);
     ++graphCounts_[command.spec.queue];
@@ -232,6 +233,7 @@
     graph.state = state;
     graph.endedAt = at;
     openGraphs_.erase(graph.spec.id);
+    openTaskCount_ -= taskCountOf(graph.spec);
     waitingGraphs_.erase(graph.spec.id);
     removeUnstarted(graph);
     endedGraphs_.push_back(graph.spec.id);
@@ -379,6 +381,11 @@
     return graphCounts_.contains(queue);
 }
 
+std::uint64_t GraphRegistry::openTaskCount() const
+{
+    return openTaskCount_;
+}
+
 GraphRevision GraphRegistry::revision() const
 {
     return revision_;
@@ -418,6 +425,7 @@
 {
     graphs_.clear();
     openGraphs_.clear();
+    openTaskCount_ = 0;
     waitingGraphs_.clear();
     unstartedGraphs_.clear();
     graphCounts_.clear();
@@ -429,6 +437,7 @@
         ++graphCounts_[graph.spec.queue];
         if (graph.state == GraphState::Open) {
             openGraphs_.insert(id);
+            openTaskCount_ += taskCountOf(graph.spec);
             if (!graph.started) {
                 unstartedGraphs_[graph.spec.queue].insert(id);
             }
--- a/src/wire/calljson.h
+++ b/src/wire/calljson.h
@@ -55,7 +55,7 @@
 BOOST_DESCRIBE_STRUCT(FormCall, (), (membership))
 BOOST_DESCRIBE_STRUCT(FormReply, (), (accepted))
 BOOST_DESCRIBE_ENUM(GraphAction, Submit, Show, Cancel)
-BOOST_DESCRIBE_ENUM(GraphOutcome, Done, Refused, NoCatalog, NoQueue, NoJob)
+BOOST_DESCRIBE_ENUM(GraphOutcome, Done, Refused, NoCatalog, NoQueue, NoJob, InvalidId)
 BOOST_DESCRIBE_STRUCT(GraphCall, (), (action, host, path, spec))
 BOOST_DESCRIBE_STRUCT(GraphReply, (), (outcome, state, started, pending, retryAfter))
 BOOST_DESCRIBE_STRUCT(WorkerHeartbeat, (),
--- a/src/wire/calls.h
+++ b/src/wire/calls.h
@@ -241,6 +241,7 @@
     NoCatalog, // no catalog of queues was installed yet
     NoQueue,
     NoJob,
+    InvalidId, // a job to submit has no id or one that is too long
 };
 
 enum class RefusalOrigin { Leader, OpenLimit, NoLeader };
--- a/test/platformwire.cpp
+++ b/test/platformwire.cpp
@@ -56,6 +56,28 @@
     CHECK(queue.tickets->perWorker == Microseconds {7'400});
 }
 
+// Guards against jobs that make every replica store as much as a client likes to send.
+TEST_CASE("a job with more text than clients may send was accepted")
+{
+    const auto jobWith = [](const std::string &payload, const std::string &step) {
+        return R"({"spec":")" + payload + R"(","steps":[{"count":1,"cpu":1000)" + step + "}]}";
+    };
+    CHECK(readJob(jobWith(std::string(4'000, 'x'), "")).has_value());
+    CHECK_FALSE(readJob(jobWith(std::string(4'001, 'x'), "")).has_value());
+    CHECK(readJob(jobWith("x", R"(,"image":")" + std::string(256, 'i') + '"')).has_value());
+    for (const std::string name : {"image", "constraints", "affinity"}) {
+        const std::string step = ",\"" + name + "\":\"" + std::string(257, 'i') + '"';
+        CHECK_FALSE(readJob(jobWith("x", step)).has_value());
+    }
+    std::string dependencies = "0";
+    for (int i = 0; i < 300; ++i) {
+        dependencies += ",0";
+    }
+    CHECK_FALSE(readJob(
+        R"({"spec":"x","steps":[{"count":1},{"count":1,"depends_on":[)" + dependencies + "]}]}")
+                    .has_value());
+}
+
 TEST_CASE("an invalid document is rejected with the reason")
 {
     const std::string good = routeWith("s1", "/q/", 3000);
--- a/test/queuenames.cpp
+++ b/test/queuenames.cpp
@@ -86,6 +86,31 @@
 
 } // namespace
 
+// Guards against replicas that run out of memory by jobs that clients submit faster than they end.
+TEST_CASE("more tasks were accepted than replicas can hold")
+{
+    constexpr std::uint32_t tasksPerJob = 50'000;
+    constexpr int maxJobs = 6; // 300,000 tasks
+    CallingLeader leader;
+    install(leader, 1, {quotesNamed("quotes")});
+    StepSpec wide = stepOf(tasksPerJob);
+    wide.size.milliCores = 1'000'000'000; // fits no worker
+    for (int i = 0; i < maxJobs; ++i) {
+        REQUIRE(leader.submit("00000000000000b" + std::to_string(i), {wide}).outcome
+            == GraphOutcome::Done);
+    }
+    const GraphReply refused = leader.submit(job, {stepOf(1)});
+    CHECK(refused.outcome == GraphOutcome::Refused);
+    CHECK(refused.retryAfter > Milliseconds {0});
+    CHECK(
+        call(leader, GraphAction::Show, quotesNamed("quotes"), job).outcome == GraphOutcome::NoJob);
+    CHECK(call(leader, GraphAction::Cancel, quotesNamed("quotes"), "00000000000000b0").outcome
+        == GraphOutcome::Done);
+    CHECK(leader.submit(job, {stepOf(1)}).outcome == GraphOutcome::Done);
+    CHECK(leader.submit(std::string(65, 'a'), {stepOf(1)}).outcome == GraphOutcome::InvalidId);
+    CHECK(leader.submit("", {stepOf(1)}).outcome == GraphOutcome::InvalidId);
+}
+
 // Guards against accepted jobs that are answered as unknown, are not cancelled and do not count as
 // waiting once their route has come back under another name.
 TEST_CASE("jobs were unknown after their route was removed and came back under another name")
