Peers: strangers cannot hold handshakes without bound

By reading: each connection to the peers' address could stay in the handshake for 2 s, with some 64 KiB each and no limit on their number; a failed accept was repeated at once, which takes the control thread while descriptors are used up; and each rejected handshake was a log record.

Change: at most 128 handshakes at once, the oldest is closed; a pause of 50 ms after a failed accept; one record a second for each cause.

No test of its own; the live test "a VM with another peer key is refused, and both sides log it" passes.

--- a/src/services/peerservice.cpp
+++ b/src/services/peerservice.cpp
@@ -3,9 +3,11 @@
 #include "src/services/peerservice.h"
 
 #include "src/net/log.h"
+#include "src/net/loglimiter.h"
 #include "src/services/peerlink.h"
 #include "src/wire/callclass.h"
 
+#include <list>
 #include <map>
 
 namespace crocusmill
@@ -15,6 +17,11 @@
 {
 
 constexpr Milliseconds handshakeTimeout {2'000};
+/// Incoming connections that may be in the handshake at once; each takes some 64 KiB. Beyond this,
+/// the oldest is closed: peers complete theirs within a few round trips.
+constexpr std::size_t maxHandshakes = 128;
+constexpr Milliseconds acceptRetryDelay {50};
+constexpr Milliseconds rejectionRecordInterval {1'000}; // between log records of one cause
 
 class PeerService final : public Service, public Peers
 {
@@ -143,10 +150,31 @@
             }
             if (!error) {
                 asio::co_spawn(context_, handshake(std::move(socket)), asio::detached);
+                continue;
             }
+            asio::steady_timer timer {context_, acceptRetryDelay};
+            co_await timer.async_wait(errorInto(error));
         }
     }
 
+    /// Closes the oldest connection without a handshake if there are too many.
+    std::list<std::shared_ptr<TlsSocket>>::iterator addHandshake(
+        const std::shared_ptr<TlsSocket> &socket)
+    {
+        std::size_t openCount = 0;
+        for (const std::shared_ptr<TlsSocket> &other : handshakes_) {
+            openCount += other->next_layer().is_open() ? 1 : 0;
+        }
+        for (const std::shared_ptr<TlsSocket> &other : handshakes_) {
+            if (openCount >= maxHandshakes && other->next_layer().is_open()) {
+                boost::system::error_code ignored;
+                other->next_layer().close(ignored);
+                --openCount;
+            }
+        }
+        return handshakes_.insert(handshakes_.end(), socket);
+    }
+
     asio::awaitable<void> handshake(Tcp::socket accepted)
     {
         const std::shared_ptr<TlsSocket> socket =
@@ -158,19 +186,31 @@
                 socket->next_layer().close(ignored);
             }
         });
+        const std::list<std::shared_ptr<TlsSocket>>::iterator handshake = addHandshake(socket);
         boost::system::error_code error;
         socket->next_layer().set_option(Tcp::no_delay(true), error);
         co_await socket->async_handshake(asio::ssl::stream_base::server, errorInto(error));
         timeoutTimer.cancel();
+        handshakes_.erase(handshake);
         if (error) {
-            if (error.category() == asio::error::get_ssl_category()) {
-                logWarning("peer.handshake_rejected", {{"error", std::error_code {error}}});
-            }
+            logRejection(error);
             co_return;
         }
         serve(socket);
     }
 
+    void logRejection(const boost::system::error_code &error)
+    {
+        const std::error_code cause {error};
+        const std::optional<std::uint64_t> leftOut =
+            error.category() == asio::error::get_ssl_category()
+            ? rejectedHandshakes_.admit(cause.message(), std::chrono::steady_clock::now())
+            : std::nullopt;
+        if (leftOut) {
+            logWarning("peer.handshake_rejected", {{"error", cause}, {"left_out", *leftOut}});
+        }
+    }
+
     void serve(const std::shared_ptr<TlsSocket> &socket)
     {
         const std::uint64_t id = nextIncomingId_++;
@@ -189,6 +229,8 @@
     Tcp::acceptor acceptor_;
     std::shared_ptr<PeerHandlers> handlers_;
     std::map<NodeAddress, std::shared_ptr<PeerLink>> links_;
+    std::list<std::shared_ptr<TlsSocket>> handshakes_; // of incoming connections, oldest first
+    LogLimiter rejectedHandshakes_ {rejectionRecordInterval};
     std::uint64_t nextIncomingId_ = 1;
     std::map<std::uint64_t, std::unique_ptr<Connection>> incomingConnections_;
     IgnoreErrors ignoreErrors_;
