HTTP servers: clients cannot take the memory or all connections

Callers saw: processes that ended, out of memory, after clients had sent trailers without end behind a chunked body, or bodies far over the limit.

Cause: the parser takes a header, the first line of a chunk and the trailers as a whole and limits only the first, so the read buffer grew with what was sent. Bodies were limited one by one, not together: 4,096 connections of 1 MiB each at an entry, 4 MiB at a replica. At the limit of connections newcomers were refused, so silent clients kept others out.

Change: the server reads itself and bounds what the parser has not taken. All servers of a process share a budget (request_memory_bytes, 32 MiB) for requests that arrive or are handled and for unread answers. Whoever never had an answer and waits longest loses its connection first; what does not fit even then is refused with 503, not_run and Retry-After. Connections and descriptors alike. Clients for workers, tickets and upstreams bound unparsed input too.

--- a/include/crocusmill/settings.h
+++ b/include/crocusmill/settings.h
@@ -54,6 +54,8 @@
     std::uint32_t maxConnections = 4096;
     ByteCount maxHeaderBytes {16ULL * 1024};
     ByteCount maxBodyBytes {1024ULL * 1024};
+    /// What clients may make this process hold at once: requests and unread answers.
+    ByteCount maxRequestMemory {32ULL * 1024 * 1024};
     ByteCount maxAnswerBytes {8ULL * 1024 * 1024};
     /// A larger answer of recorded work is stored without its body.
     ByteCount maxKeptAnswerBytes {64ULL * 1024};
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -70,6 +70,7 @@
 
 Daemon::Daemon(Settings settings, std::function<Checked<Settings>()> reload)
     : settings_(std::move(settings))
+    , connections_(std::make_shared<ClientConnections>(settings_.entry.maxRequestMemory, &metrics_))
     , loopWatch_(loop_.context(), metrics_)
     , tracer_(settings_.trace, settings_.vm)
     , reload_(std::move(reload))
@@ -106,10 +107,10 @@
     kernel_.add(makeClientService(control, settings_));
     BOOST_OUTCOME_TRY(addIngressServices(traffic, replica));
     if (settings_.metrics) {
-        kernel_.add(makeMetricsService(traffic, *settings_.metrics, metrics_));
+        kernel_.add(makeMetricsService(traffic, *settings_.metrics, metrics_, connections_));
     }
     kernel_.add(makeOperatorService(control, traffic, settings_, token, metrics_, tracer_,
-        [this]() { asio::post(loop_.context(), [this]() { beginShutdown(); }); }));
+        connections_, [this]() { asio::post(loop_.context(), [this]() { beginShutdown(); }); }));
     return kernel_.start();
 }
 
@@ -119,14 +120,15 @@
     asio::io_context &control = loop_.context();
     if (settings_.forwardsRequests) {
         kernel_.add(makeEntryService(control, settings_, replica));
-        kernel_.add(makeIngressService(control, traffic, settings_, metrics_, tracer_));
+        kernel_.add(
+            makeIngressService(control, traffic, settings_, metrics_, tracer_, connections_));
     }
     if (settings_.platform.empty()) {
         return success();
     }
     kernel_.add(makePresenceService(control, settings_, replica, true));
     return platform::addServices(
-        kernel_, {control, traffic, metrics_, settings_.entry}, settings_.platform);
+        kernel_, {control, traffic, metrics_, settings_.entry, connections_}, settings_.platform);
 }
 
 void Daemon::startTraffic()
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -50,6 +50,7 @@
     Settings settings_;
     ControlLoop loop_;
     Metrics metrics_;
+    std::shared_ptr<ClientConnections> connections_;
     LoopWatch loopWatch_;
     Tracer tracer_;
     Kernel kernel_;
--- a/src/net/callclient.cpp
+++ b/src/net/callclient.cpp
@@ -18,6 +18,8 @@
 /// pending read has already seen it close.
 constexpr Milliseconds maxUncheckedIdleDuration {100};
 constexpr std::size_t readBytes = 2'048;
+/// The parser consumes a response's header, the first line of a chunk and the trailers as a whole.
+constexpr std::size_t maxUnparsedBytes = 64ULL * 1024;
 
 /// Avoids the type-erased executor of the default socket.
 using CallSocket = asio::basic_stream_socket<Tcp, asio::io_context::executor_type>;
@@ -243,6 +245,10 @@
             return false;
         }
         unparsed_ = std::string {bytes.substr(consumed)};
+        if (unparsed_.size() > maxUnparsedBytes) {
+            finish(HttpResultKind::TooLarge);
+            return false;
+        }
         return true;
     }
 
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+/// Bounds what the parser of a response has not consumed, such as trailers without end.
+constexpr std::size_t maxBufferBytes = 128ULL * 1024;
+
 /// Returns true if the socket is open and has no unread input. Unread input would be mistaken for
 /// the response to a new request.
 bool isOpenWithoutInput(Tcp::socket &socket)
@@ -23,8 +26,9 @@
 
 } // namespace
 
-HttpClient::Connection::Connection(asio::io_context &context)
+HttpClient::Connection::Connection(asio::io_context &context, std::size_t maxBufferBytes)
     : stream(context)
+    , buffer(maxBufferBytes)
 {
 }
 
@@ -42,7 +46,7 @@
 asio::awaitable<HttpClient::ConnectionPtr> HttpClient::connect(
     NodeAddress to, MonotonicTime deadline)
 {
-    ConnectionPtr connection = std::make_unique<Connection>(context_);
+    ConnectionPtr connection = std::make_unique<Connection>(context_, maxBufferBytes);
     boost::system::error_code error;
     const Tcp::endpoint endpoint {asio::ip::make_address(to.ip, error), to.port};
     if (error) {
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -64,7 +64,7 @@
 private:
     struct Connection
     {
-        explicit Connection(asio::io_context &context);
+        Connection(asio::io_context &context, std::size_t maxBufferBytes);
 
         beast::tcp_stream stream;
         beast::flat_buffer buffer;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -14,6 +14,20 @@
 namespace
 {
 
+constexpr Milliseconds overloadRetryAfter {1'000};
+/// Pause after a connection could not be accepted. The system keeps it and is asked again.
+constexpr Milliseconds acceptRetryDelay {50};
+/// Unread input that the system keeps for a connection while its request is handled.
+constexpr int receiveBufferBytes = 64 * 1024;
+/// Each connection may hold this much outside the budget, so that short requests are read when the
+/// budget is used up.
+constexpr std::size_t freeBytes = 4'096;
+constexpr std::size_t bodyReadBytes = 16ULL * 1024;
+/// A header field takes this much memory in addition to its text.
+constexpr std::size_t fieldBytes = 64;
+/// While a request is handled, its content exists as text, decoded, and encoded for the leader.
+constexpr std::size_t copiesWhileHandled = 3;
+
 HttpResponse problemFor(HttpError error)
 {
     Problem problem;
@@ -36,6 +50,12 @@
     case HttpError::TooManyConnections:
         problem.status = http::status::service_unavailable;
         problem.type = "too-many-connections";
+        problem.retryAfter = overloadRetryAfter;
+        break;
+    case HttpError::Overloaded:
+        problem.status = http::status::service_unavailable;
+        problem.type = "overloaded";
+        problem.retryAfter = overloadRetryAfter;
         break;
     case HttpError::CannotListen:
     case HttpError::Malformed:
@@ -83,6 +103,8 @@
         return "the request did not arrive in time";
     case HttpError::TooManyConnections:
         return "too many connections are open";
+    case HttpError::Overloaded:
+        return "too many large requests are in progress";
     }
     return "unknown HTTP error";
 }
@@ -106,9 +128,13 @@
 HttpServer::HttpServer(
     std::vector<asio::io_context *> contexts, HttpLimits limits, HttpHandler &handler)
     : contexts_(std::move(contexts))
-    , limits_(limits)
+    , limits_(std::move(limits))
     , handler_(handler)
     , acceptor_(*contexts_.front())
+    , connections_(limits_.connections
+              ? limits_.connections
+              : std::make_shared<ClientConnections>(EntrySettings {}.maxRequestMemory, nullptr))
+    , listener_(connections_->addListener(limits_.maxConnections))
 {
 }
 
@@ -121,6 +147,7 @@
     }
     acceptor_.open(endpoint.protocol(), error);
     acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
+    acceptor_.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), error);
     acceptor_.bind(endpoint, error);
     if (!error) {
         acceptor_.listen(asio::socket_base::max_listen_connections, error);
@@ -166,7 +193,11 @@
         }
         if (!error) {
             asio::co_spawn(context, serve(std::move(socket)), asio::detached);
+            continue;
         }
+        connections_->makePlace(listener_);
+        asio::steady_timer timer {acceptor_.get_executor(), acceptRetryDelay};
+        co_await timer.async_wait(errorInto(error));
     }
 }
 
@@ -176,14 +207,25 @@
 public:
     Session(HttpServer &server, Tcp::socket socket)
         : server_(server)
+        , connections_(server.connections_)
         , stream_(std::move(socket))
+        , self_(std::make_shared<Session *>(this))
+        , id_(connections_->add(server_.listener_,
+              [self = std::weak_ptr<Session *> {self_}, executor = stream_.get_executor()]() {
+                  asio::post(executor, [self]() {
+                      if (const std::shared_ptr<Session *> session = self.lock()) {
+                          (*session)->stream_.close();
+                      }
+                  });
+              }))
     {
-        ++server_.connectionCount_;
     }
 
     ~Session()
     {
-        --server_.connectionCount_;
+        if (id_) {
+            connections_->remove(*id_);
+        }
     }
 
     Session(const Session &) = delete;
@@ -193,8 +235,8 @@
     {
         boost::system::error_code ignored;
         stream_.socket().set_option(Tcp::no_delay(true), ignored);
-        if (server_.connectionCount_ > server_.limits_.maxConnections) {
-            co_await write(problemFor(HttpError::TooManyConnections));
+        if (!id_) {
+            co_await refuse(HttpError::TooManyConnections);
             co_return;
         }
         while (co_await serveOne()) { }
@@ -202,13 +244,16 @@
     }
 
 private:
+    using Parser = http::request_parser<http::string_body>;
+
     /// Waits for the first byte of the next request. Returns false if none arrives.
     asio::awaitable<bool> awaitRequest()
     {
         if (buffer_.size() > 0) {
             co_return true;
         }
-        constexpr std::size_t firstRead = 4096;
+        buffer_.shrink_to_fit(); // frees what a large request took
+        static_cast<void>(hold(0));
         setIdle(true);
         stream_.expires_after(server_.limits_.idleTimeout);
         boost::system::error_code error;
@@ -216,7 +261,7 @@
             error = asio::error::operation_aborted;
         } else {
             const std::size_t size =
-                co_await stream_.async_read_some(buffer_.prepare(firstRead), errorInto(error));
+                co_await stream_.async_read_some(buffer_.prepare(freeBytes), errorInto(error));
             buffer_.commit(size);
         }
         setIdle(false);
@@ -233,6 +278,23 @@
         }
     }
 
+    void setPhase(ConnectionPhase phase)
+    {
+        connections_->setPhase(*id_, phase);
+    }
+
+    /// Returns false if there is no room for it, or if the connection is being closed.
+    [[nodiscard]] bool hold(std::size_t bytes)
+    {
+        const std::size_t counted = bytes > freeBytes ? bytes : 0;
+        if (counted == heldBytes_) {
+            return true;
+        }
+        const bool isGranted = connections_->hold(*id_, ByteCount {counted});
+        heldBytes_ = isGranted ? counted : heldBytes_;
+        return isGranted;
+    }
+
     asio::awaitable<bool> serveOne()
     {
         if (!co_await awaitRequest()) {
@@ -241,26 +303,29 @@
         ++server_.busyCount_;
         const bool keepsConnection = co_await answerOne();
         --server_.busyCount_;
+        setPhase(ConnectionPhase::Idle);
         co_return keepsConnection;
     }
 
     asio::awaitable<bool> answerOne()
     {
-        http::request_parser<http::string_body> parser;
+        Parser parser;
+        parser.eager(true);
         parser.header_limit(static_cast<std::uint32_t>(server_.limits_.maxHeaderBytes.value()));
         parser.body_limit(server_.limits_.maxBodyBytes.value());
         stream_.expires_after(server_.limits_.receiveTimeout);
-        boost::system::error_code error;
-        co_await http::async_read(stream_, buffer_, parser, errorInto(error));
-        if (error == http::error::end_of_stream || error == asio::error::connection_reset) {
+        std::optional<HttpError> refusal;
+        if (!co_await receive(parser, refusal)) {
             co_return false;
         }
-        if (error) {
-            stream_.expires_after(server_.limits_.receiveTimeout);
-            co_await write(problemFor(classify(error)));
-            co_await discardRest();
+        if (!refusal && !hold(copiesWhileHandled * contentBytes(parser))) {
+            refusal = HttpError::Overloaded;
+        }
+        if (refusal) {
+            co_await refuse(*refusal);
             co_return false;
         }
+        setPhase(ConnectionPhase::Handling);
         HttpRequest request = parser.release();
         const bool keepAlive = request.keep_alive();
         const unsigned int version = request.version();
@@ -270,18 +335,88 @@
         co_return co_await write(std::move(response)) && keepAlive && !server_.isStopping_;
     }
 
+    /// Receives one request. Sets `refusal` if it cannot be handled. Returns false if the
+    /// connection has ended.
+    asio::awaitable<bool> receive(Parser &parser, std::optional<HttpError> &refusal)
+    {
+        boost::system::error_code error;
+        while (true) {
+            if (buffer_.size() > 0) {
+                buffer_.consume(parser.put(buffer_.data(), error));
+            }
+            if (parser.is_done() && !error) {
+                co_return true;
+            }
+            if (error && error != http::error::need_more) {
+                refusal = classify(error);
+                co_return true;
+            }
+            // The parser consumes a header, a chunk's first line and the trailers as a whole, and
+            // limits only the first of them.
+            if (buffer_.size() > server_.limits_.maxHeaderBytes.value()) {
+                refusal = HttpError::HeaderTooLarge;
+                co_return true;
+            }
+            setPhase(ConnectionPhase::Receiving);
+            const std::size_t readBytes = parser.is_header_done() ? bodyReadBytes : freeBytes;
+            const asio::mutable_buffer space = buffer_.prepare(readBytes);
+            if (!hold(buffer_.capacity() + contentBytes(parser))) {
+                refusal = HttpError::Overloaded;
+                co_return true;
+            }
+            error = {};
+            const std::size_t size = co_await stream_.async_read_some(space, errorInto(error));
+            buffer_.commit(size);
+            if (error == asio::error::eof) {
+                refusal = HttpError::Malformed; // the request ended too early
+                co_return true;
+            }
+            if (error == beast::error::timeout) {
+                refusal = HttpError::TooSlow;
+                co_return true;
+            }
+            if (error) {
+                co_return false;
+            }
+        }
+    }
+
+    /// Returns the memory that the parsed part of a request takes.
+    static std::size_t contentBytes(const Parser &parser)
+    {
+        const HttpRequest &request = parser.get();
+        std::size_t bytes = request.body().capacity() + request.target().size();
+        for (const HttpRequest::value_type &field : request) {
+            bytes += field.name_string().size() + field.value().size() + fieldBytes;
+        }
+        return bytes;
+    }
+
+    /// Answers a request that is not handled, and ends the connection.
+    asio::awaitable<void> refuse(HttpError error)
+    {
+        HttpResponse problem = problemFor(error);
+        connections_->countRefusal(ErrorText<HttpError>::text(error));
+        stream_.expires_after(server_.limits_.receiveTimeout);
+        const bool isWritten = co_await write(std::move(problem));
+        if (isWritten && id_) {
+            buffer_ = {};
+            static_cast<void>(hold(0));
+            co_await discardRest();
+        }
+    }
+
     /// Reads and discards the rest of a refused request. An immediate close would reset the
     /// connection, and the caller would lose the response.
     asio::awaitable<void> discardRest()
     {
-        constexpr std::size_t maxDiscardedBytes = 64ULL * 1024 * 1024;
-        constexpr std::size_t chunk = 64ULL * 1024;
+        constexpr std::size_t maxDiscardedBytes = 4ULL * 1024 * 1024;
         boost::system::error_code error;
         stream_.socket().shutdown(Tcp::socket::shutdown_send, error);
         stream_.expires_after(server_.limits_.receiveTimeout);
-        buffer_.clear();
         for (std::size_t discarded = 0; !error && discarded < maxDiscardedBytes;) {
-            discarded += co_await stream_.async_read_some(buffer_.prepare(chunk), errorInto(error));
+            discarded +=
+                co_await stream_.async_read_some(buffer_.prepare(freeBytes), errorInto(error));
         }
     }
 
@@ -339,6 +474,10 @@
             http::write_some(stream_.socket(), serializer, error);
         }
         if (error == asio::error::would_block) {
+            if (!id_ || !hold(response.body().size())) {
+                co_return false;
+            }
+            setPhase(ConnectionPhase::Sending);
             stream_.expires_after(server_.limits_.idleTimeout);
             co_await http::async_write(stream_, serializer, errorInto(error));
         }
@@ -346,8 +485,12 @@
     }
 
     HttpServer &server_;
+    std::shared_ptr<ClientConnections> connections_; // a session may outlive its server
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
+    std::shared_ptr<Session *> self_; // for the closer, which may be called after this object's end
+    std::optional<ConnectionId> id_; // none: refused
+    std::size_t heldBytes_ = 0; // counted for id_
 };
 
 asio::awaitable<void> HttpServer::serve(Tcp::socket socket)
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -1,8 +1,12 @@
 /// HTTP server on the traffic threads, with limits on connections, sizes and time.
+///
+/// All servers of a process share one budget for what clients make them hold: requests that have
+/// arrived in part, requests that are handled, and answers that clients do not read.
 
 #pragma once
 
 #include "src/net/asio.h"
+#include "src/net/clientconnections.h"
 
 #include <crocusmill/error.h>
 #include <crocusmill/settings.h>
@@ -28,6 +32,7 @@
     Malformed,
     TooSlow,
     TooManyConnections,
+    Overloaded,
 };
 
 template <> struct ErrorText<HttpError>
@@ -71,6 +76,8 @@
     ByteCount maxBodyBytes {1024ULL * 1024};
     Milliseconds idleTimeout {60'000};
     Milliseconds receiveTimeout {10'000};
+    /// Shared by the servers of a process; null: the server has a budget of its own.
+    std::shared_ptr<ClientConnections> connections {};
 };
 
 class HttpServer
@@ -96,7 +103,8 @@
     HttpHandler &handler_;
     Tcp::acceptor acceptor_;
     std::size_t nextContext_ = 0;
-    std::atomic<std::uint32_t> connectionCount_ {0};
+    std::shared_ptr<ClientConnections> connections_;
+    ListenerId listener_;
     std::atomic<std::uint32_t> busyCount_ {0};
     std::atomic<bool> isStopping_ {false};
     std::mutex idleMutex_;
--- a/src/services/ingress.cpp
+++ b/src/services/ingress.cpp
@@ -93,12 +93,14 @@
 {
 public:
     IngressService(asio::io_context &control, std::vector<asio::io_context *> traffic,
-        const Settings &settings, Metrics &metrics, Tracer &tracer)
+        const Settings &settings, Metrics &metrics, Tracer &tracer,
+        std::shared_ptr<ClientConnections> connections)
         : control_(control)
         , traffic_(std::move(traffic))
         , settings_(settings)
         , metrics_(metrics)
         , tracer_(tracer)
+        , connections_(std::move(connections))
     {
     }
 
@@ -133,6 +135,7 @@
         limits.maxBodyBytes = settings_.entry.maxBodyBytes;
         limits.idleTimeout = settings_.entry.idleTimeout;
         limits.receiveTimeout = settings_.entry.receiveTimeout;
+        limits.connections = connections_;
         server_ = std::make_unique<HttpServer>(traffic_, limits, *this);
         BOOST_OUTCOME_TRY(server_->listen(settings_.entry.listen));
         if (settings_.announce) {
@@ -369,6 +372,7 @@
     Settings settings_;
     Metrics &metrics_;
     Tracer &tracer_;
+    std::shared_ptr<ClientConnections> connections_;
     Entry *entry_ = nullptr;
     LeaderClient *client_ = nullptr;
     std::unique_ptr<FlowContext> flowContext_;
@@ -384,9 +388,10 @@
 
 std::unique_ptr<Service> makeIngressService(asio::io_context &control,
     std::vector<asio::io_context *> traffic, const Settings &settings, Metrics &metrics,
-    Tracer &tracer)
+    Tracer &tracer, std::shared_ptr<ClientConnections> connections)
 {
-    return std::make_unique<IngressService>(control, std::move(traffic), settings, metrics, tracer);
+    return std::make_unique<IngressService>(
+        control, std::move(traffic), settings, metrics, tracer, std::move(connections));
 }
 
 } // namespace crocusmill
--- a/src/services/ingress.h
+++ b/src/services/ingress.h
@@ -29,6 +29,6 @@
 
 [[nodiscard]] std::unique_ptr<Service> makeIngressService(asio::io_context &control,
     std::vector<asio::io_context *> traffic, const Settings &settings, Metrics &metrics,
-    Tracer &tracer);
+    Tracer &tracer, std::shared_ptr<ClientConnections> connections);
 
 } // namespace crocusmill
--- a/src/services/metricsservice.cpp
+++ b/src/services/metricsservice.cpp
@@ -8,14 +8,16 @@
 namespace
 {
 
+constexpr std::uint32_t maxConnections = 64;
+
 class MetricsService final : public Service, public HttpHandler
 {
 public:
-    MetricsService(
-        std::vector<asio::io_context *> traffic, NodeAddress listen, const Metrics &metrics)
+    MetricsService(std::vector<asio::io_context *> traffic, NodeAddress listen,
+        const Metrics &metrics, std::shared_ptr<ClientConnections> connections)
         : listen_(std::move(listen))
         , metrics_(metrics)
-        , server_(std::move(traffic), HttpLimits {}, *this)
+        , server_(std::move(traffic), limitsWith(std::move(connections)), *this)
     {
     }
 
@@ -49,6 +51,14 @@
     }
 
 private:
+    static HttpLimits limitsWith(std::shared_ptr<ClientConnections> connections)
+    {
+        HttpLimits limits;
+        limits.maxConnections = maxConnections;
+        limits.connections = std::move(connections);
+        return limits;
+    }
+
     NodeAddress listen_;
     const Metrics &metrics_;
     HttpServer server_;
@@ -56,10 +66,12 @@
 
 } // namespace
 
-std::unique_ptr<Service> makeMetricsService(
-    std::vector<asio::io_context *> traffic, const NodeAddress &listen, const Metrics &metrics)
+std::unique_ptr<Service> makeMetricsService(std::vector<asio::io_context *> traffic,
+    const NodeAddress &listen, const Metrics &metrics,
+    std::shared_ptr<ClientConnections> connections)
 {
-    return std::make_unique<MetricsService>(std::move(traffic), listen, metrics);
+    return std::make_unique<MetricsService>(
+        std::move(traffic), listen, metrics, std::move(connections));
 }
 
 } // namespace crocusmill
--- a/src/services/metricsservice.h
+++ b/src/services/metricsservice.h
@@ -12,7 +12,8 @@
 namespace crocusmill
 {
 
-[[nodiscard]] std::unique_ptr<Service> makeMetricsService(
-    std::vector<asio::io_context *> traffic, const NodeAddress &listen, const Metrics &metrics);
+[[nodiscard]] std::unique_ptr<Service> makeMetricsService(std::vector<asio::io_context *> traffic,
+    const NodeAddress &listen, const Metrics &metrics,
+    std::shared_ptr<ClientConnections> connections);
 
 } // namespace crocusmill
--- a/src/services/operators.cpp
+++ b/src/services/operators.cpp
@@ -17,6 +17,7 @@
 {
 
 constexpr Milliseconds callTimeout {3'000};
+constexpr std::uint32_t maxConnections = 256;
 
 HttpResponse problem(http::status status, const std::string &type, const std::string &detail)
 {
@@ -99,13 +100,14 @@
 public:
     OperatorService(asio::io_context &control, std::vector<asio::io_context *> traffic,
         const Settings &settings, const std::string &token, Metrics &metrics, Tracer &tracer,
-        std::function<void()> drain)
+        std::shared_ptr<ClientConnections> connections, std::function<void()> drain)
         : control_(control)
         , traffic_(std::move(traffic))
         , settings_(settings)
         , authorization_("Bearer " + token)
         , metrics_(metrics)
         , tracer_(tracer)
+        , connections_(std::move(connections))
         , onDrain_(std::move(drain))
     {
     }
@@ -123,7 +125,10 @@
     Result<void> start(Kernel &kernel) override
     {
         client_ = kernel.find<LeaderClient>(names::client);
-        server_ = std::make_unique<HttpServer>(traffic_, HttpLimits {}, *this);
+        HttpLimits limits;
+        limits.maxConnections = maxConnections;
+        limits.connections = connections_;
+        server_ = std::make_unique<HttpServer>(traffic_, limits, *this);
         return server_->listen(settings_.operators.listen);
     }
 
@@ -349,6 +354,7 @@
     std::string authorization_;
     Metrics &metrics_;
     Tracer &tracer_;
+    std::shared_ptr<ClientConnections> connections_;
     std::function<void()> onDrain_;
     LeaderClient *client_ = nullptr;
     std::unique_ptr<HttpServer> server_;
@@ -358,10 +364,11 @@
 
 std::unique_ptr<Service> makeOperatorService(asio::io_context &control,
     std::vector<asio::io_context *> traffic, const Settings &settings, const std::string &token,
-    Metrics &metrics, Tracer &tracer, std::function<void()> drain)
+    Metrics &metrics, Tracer &tracer, std::shared_ptr<ClientConnections> connections,
+    std::function<void()> drain)
 {
-    return std::make_unique<OperatorService>(
-        control, std::move(traffic), settings, token, metrics, tracer, std::move(drain));
+    return std::make_unique<OperatorService>(control, std::move(traffic), settings, token, metrics,
+        tracer, std::move(connections), std::move(drain));
 }
 
 } // namespace crocusmill
--- a/src/services/operators.h
+++ b/src/services/operators.h
@@ -20,6 +20,7 @@
 /// `drain` starts the graceful shutdown of this process; it may be called on any thread.
 [[nodiscard]] std::unique_ptr<Service> makeOperatorService(asio::io_context &control,
     std::vector<asio::io_context *> traffic, const Settings &settings, const std::string &token,
-    Metrics &metrics, Tracer &tracer, std::function<void()> drain);
+    Metrics &metrics, Tracer &tracer, std::shared_ptr<ClientConnections> connections,
+    std::function<void()> drain);
 
 } // namespace crocusmill
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -117,6 +117,8 @@
 {
     constexpr std::uint64_t maxThreads = 64;
     constexpr std::uint64_t maxConnectionsSetting = 1'000'000;
+    // A request counts several times while it is handled.
+    constexpr std::uint64_t minLargeRequests = 8;
     if (listens) {
         entry.listen = readListenAddress(checker);
     }
@@ -126,6 +128,11 @@
         checker.optionalCount("connections", 1, maxConnectionsSetting, entry.maxConnections));
     entry.maxHeaderBytes = readBytes(checker, "header_bytes", entry.maxHeaderBytes);
     entry.maxBodyBytes = readBytes(checker, "body_bytes", entry.maxBodyBytes);
+    entry.maxRequestMemory = readBytes(checker, "request_memory_bytes", entry.maxRequestMemory);
+    if (entry.maxRequestMemory.value() < minLargeRequests * entry.maxBodyBytes.value()) {
+        checker.addFault(
+            "request_memory_bytes", FaultKind::Inconsistent, "at least eight times body_bytes");
+    }
     entry.maxAnswerBytes = readBytes(checker, "answer_bytes", entry.maxAnswerBytes);
     entry.maxKeptAnswerBytes = readBytes(checker, "kept_answer_bytes", entry.maxKeptAnswerBytes);
     entry.idleTimeout = readDuration(checker, "idle_ms", entry.idleTimeout);
--- a/test/live/platformcell.cpp
+++ b/test/live/platformcell.cpp
@@ -2,8 +2,6 @@
 
 #include "test/live/platformcell.h"
 
-#include <boost/json.hpp>
-
 #include <ctime>
 #include <fstream>
 #include <iomanip>
@@ -86,6 +84,16 @@
     return options_.replicas + options_.entries;
 }
 
+const Process &PlatformCell::process(std::uint32_t vm) const
+{
+    return processes_.at(vm);
+}
+
+NodeAddress PlatformCell::front(std::uint32_t entry) const
+{
+    return {ipOf(options_.replicas + 1 + entry), frontPort};
+}
+
 std::string PlatformCell::ipOf(std::uint32_t vm) const
 {
     return prefix_ + std::to_string(vm);
@@ -108,11 +116,13 @@
         platform["front"] = text(ip, frontPort);
         platform["ready"] = text(ip, readyPort);
     }
+    boost::json::object entry = options_.entrySettings;
+    entry["threads"] = 1;
     boost::json::object settings {{"vm", "vm-" + std::to_string(vm)}, {"availability_zone", "zone"},
         {"peers",
             boost::json::object {{"listen", address(ip, peerPort)},
                 {"key_file", (folder_ / "peer.key").string()}, {"seeds", seeds}}},
-        {"entry", boost::json::object {{"threads", 1}}}, {"platform", platform},
+        {"entry", entry}, {"platform", platform},
         {"operators",
             boost::json::object {{"listen", address(ip, operatorPort)},
                 {"token_file", (folder_ / "token").string()}}},
@@ -165,8 +175,7 @@
     const std::string &target, const std::string &body) const
 {
     constexpr Milliseconds timeout {3'000};
-    const NodeAddress front {ipOf(options_.replicas + 1 + entry), frontPort};
-    return httpRequest(front, method, target, body, {}, timeout);
+    return httpRequest(front(entry), method, target, body, {}, timeout);
 }
 
 bool PlatformCell::installQueue() const
--- a/test/live/platformcell.h
+++ b/test/live/platformcell.h
@@ -8,6 +8,8 @@
 
 #include <crocusmill/ids.h>
 
+#include <boost/json.hpp>
+
 #include <filesystem>
 #include <map>
 #include <string>
@@ -21,6 +23,8 @@
     std::uint32_t replicas = 5;
     std::uint32_t entries = 2;
     NodeAddress ticketOffice;
+    /// Added to the `entry` section of the settings of every VM.
+    boost::json::object entrySettings {};
 };
 
 class PlatformCell
@@ -38,6 +42,9 @@
     void killAll();
     void deleteFolder(std::uint32_t vm) const;
     [[nodiscard]] std::uint32_t vmCount() const;
+    [[nodiscard]] const Process &process(std::uint32_t vm) const;
+    /// Returns the address that takes clients' requests on the entry, counted from zero.
+    [[nodiscard]] NodeAddress front(std::uint32_t entry) const;
 
     /// Sends a client's request to the entry, counted from zero.
     [[nodiscard]] HttpReply call(std::uint32_t entry, const std::string &method,
--- a/test/live/process.cpp
+++ b/test/live/process.cpp
@@ -4,6 +4,9 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <string_view>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <utility>
@@ -80,4 +83,32 @@
     return pid_ > 0;
 }
 
+bool Process::isAlive() const
+{
+    siginfo_t ended {};
+    return pid_ > 0
+        && ::waitid(P_PID, static_cast<id_t>(pid_), &ended, WEXITED | WNOHANG | WNOWAIT) == 0
+        && ended.si_pid == 0;
+}
+
+ByteCount Process::peakMemory() const
+{
+    constexpr std::string_view name = "VmHWM:";
+    constexpr std::uint64_t bytesPerKibibyte = 1024;
+    std::ifstream status {"/proc/" + std::to_string(pid_) + "/status"};
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.starts_with(name)) {
+            return ByteCount {std::stoull(line.substr(name.size())) * bytesPerKibibyte};
+        }
+    }
+    return {};
+}
+
+std::size_t Process::openDescriptorCount() const
+{
+    const std::filesystem::directory_iterator descriptors {"/proc/" + std::to_string(pid_) + "/fd"};
+    return static_cast<std::size_t>(std::distance(begin(descriptors), end(descriptors)));
+}
+
 } // namespace crocusmill::live
--- a/test/live/process.h
+++ b/test/live/process.h
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include <crocusmill/ids.h>
+
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -27,6 +29,12 @@
     /// Waits for the end of the process. Returns its exit code, or -1 if a signal ended it.
     int wait();
     [[nodiscard]] bool isRunning() const;
+    /// Returns whether the process has not ended, by itself or by a signal.
+    [[nodiscard]] bool isAlive() const;
+    /// Returns the largest resident memory that the process has had so far.
+    [[nodiscard]] ByteCount peakMemory() const;
+    /// Returns the number of descriptors that the process has open.
+    [[nodiscard]] std::size_t openDescriptorCount() const;
 
 private:
     pid_t pid_ = 0;
