Customers: keys, limits on what runs, and shares

Callers saw, on the two deployments with customers: jobs under unknown and withdrawn keys ran, catalogs with a shared key were acknowledged, and customers had more running than their limits.

Change: the catalog carries customers with digests of their keys, weight and limit. The leader checks the key of each call against the catalog that it has applied, so a withdrawn key ends with its acknowledgement. A run counts against its customer's limit from its reservation until its end is known, also on workers that do not answer; a gang starts whole or not at all; steps held back are attempted again when the customer releases something. Jobs beyond `weight` a second go after all that are within their shares, and are refused with Retry-After while the workers are full.

Stored forms: new members are left out while they have their defaults, so cells without customers write what they wrote before.

--- a/include/crocusmill/catalog.h
+++ b/include/crocusmill/catalog.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <crocusmill/customer.h>
 #include <crocusmill/ids.h>
 #include <crocusmill/taskgraph.h>
 
@@ -34,6 +35,7 @@
     Milliseconds aim {0};
     Milliseconds timeout {0}; // of one request
     std::optional<TicketTiming> tickets;
+    bool isPublic = false; // needs no key
 
     /// Returns whether clients reach both queues by the same host and prefix.
     [[nodiscard]] bool hasSameAddress(const Queue &other) const;
@@ -59,6 +61,8 @@
     /// and their jobs run on their terms.
     // Invariant: none has the name of another removed queue or of one in `queues`.
     std::vector<Queue> removedQueues;
+    /// Empty: calls need no keys. Includes removed customers that have open jobs.
+    std::vector<Customer> customers;
 
     /// Returns the queue of `host` with the longest prefix of `path`, or null.
     [[nodiscard]] const Queue *find(std::string_view host, std::string_view path) const;
@@ -70,6 +74,10 @@
     /// Returns the names with which jobs of `queue`, an element of `queues`, may be recorded.
     [[nodiscard]] std::vector<QueueName> jobNamesOf(const Queue &queue) const;
 
+    /// Adds the customers of `previous` that this version lacks and for which `hasOpenJobs` returns
+    /// true, as removed ones.
+    void keepCustomersOf(
+        const Catalog &previous, const std::function<bool(const CustomerName &)> &hasOpenJobs);
     /// Puts `next` in force. Queues that it lacks become removed queues; those removed before are
     /// dropped unless `hasJobs`. Returns the names to replace in the recorded jobs.
     std::vector<QueueRenaming> replaceWith(
--- a/include/crocusmill/graphorder.h
+++ b/include/crocusmill/graphorder.h
@@ -4,7 +4,8 @@
 /// is worth most, one that took more than three times its objective nothing. With the oldest first,
 /// all jobs wait until they are late. So jobs that can still end in time go first, those of the
 /// queue with the most urgent priority ahead, then those with the earliest deadline; jobs that will
-/// be late get the room that these leave, and jobs that are of no use any more the rest. Pure.
+/// be late get the room that these leave, jobs beyond the share of their customer what these leave,
+/// and jobs that are of no use any more the rest. Pure.
 
 #pragma once
 
@@ -24,10 +25,16 @@
     WallTime accepted;
     Milliseconds objective {0}; // after `accepted`
     Milliseconds remaining {0}; // estimated time from the start of the step to the job's end
+    bool isBeyondShare = false; // the job was submitted beyond the share of its customer
 };
 
 /// What a job is still worth if the step starts now.
-enum class Prospect { InTime, Late, Expired };
+enum class Prospect {
+    InTime,
+    Late,
+    Surplus, // beyond the share of its customer; in time or late
+    Expired,
+};
 
 /// Sort key of a ready step; the lowest goes first.
 struct Urgency
--- a/include/crocusmill/graphregistry.h
+++ b/include/crocusmill/graphregistry.h
@@ -103,6 +103,8 @@
     [[nodiscard]] const std::map<QueueName, std::set<GraphId>> &unstartedGraphs() const;
     /// Returns whether a graph, open or ended, is recorded with this queue name.
     [[nodiscard]] bool hasGraphsOf(const QueueName &queue) const;
+    /// Returns the customers that have open graphs.
+    [[nodiscard]] std::set<CustomerName> openCustomers() const;
     /// Returns the number of tasks of the open graphs.
     [[nodiscard]] std::uint64_t openTaskCount() const;
     /// Returns the revision of the newest change.
--- a/include/crocusmill/stepqueue.h
+++ b/include/crocusmill/stepqueue.h
@@ -49,6 +49,10 @@
     void retryIfFits(const TaskRef &step, const TaskSize &room);
     /// Marks all steps for an attempt.
     void retryAll();
+    /// Attempts the step no more until it changes, or until unblock() or retryAll().
+    void block(const TaskRef &step);
+    /// Marks the step for an attempt if it was blocked.
+    void unblock(const TaskRef &step);
     /// Marks all steps that need tickets as waiting to request some.
     void markAllWaitingToAsk();
     /// Clears the marks of the step because it is being attempted.
@@ -81,13 +85,14 @@
         TicketQueueMask ticketQueues;
         bool needsAttempt = false;
         bool isWaitingToAsk = false;
+        bool isBlocked = false;
     };
     /// Entries that are adjacent in the order of urgency. The summary lets a search skip the chunk.
     struct Chunk
     {
         std::vector<Entry> entries;
-        // Invariant: the union of the marks of the entries, and the minimum of their sizes in each
-        // dimension.
+        // Invariant: the union of the marks of the entries that are not blocked, and the minimum of
+        // their sizes in each dimension.
         bool needsAttempt = false;
         TicketQueueMask queuesWaitingToAsk;
         TicketQueueMask usefulQueuesWaitingToAsk; // without expired entries
--- a/include/crocusmill/taskgraph.h
+++ b/include/crocusmill/taskgraph.h
@@ -14,6 +14,7 @@
 using QueueName = StrongValue<struct QueueNameTag, std::string>;
 using GraphId = StrongValue<struct GraphIdTag, std::string>;
 using WorkerLabel = StrongValue<struct WorkerLabelTag, std::string>;
+using CustomerName = StrongValue<struct CustomerNameTag, std::string>;
 using ImageName = StrongValue<struct ImageNameTag, std::string>;
 /// Identifies saved progress of a task; empty if there is none.
 using Checkpoint = StrongValue<struct CheckpointTag, std::string>;
@@ -72,6 +73,9 @@
     std::uint32_t attempts = 1; // failed runs of a task or gang that fail the job
     double slackFactor = 1; // objective: slackFactor x critical path + aim
     Milliseconds aim {0};
+
+    CustomerName customer; // who submitted it; empty if the queue needs no key
+    bool isBeyondShare = false; // submitted beyond the customer's share
 };
 
 /// Returns the number of tasks of all steps and occurrences.
--- a/src/cell/graphorder.cpp
+++ b/src/cell/graphorder.cpp
@@ -62,6 +62,8 @@
     Prospect prospect = Prospect::InTime;
     if (now > latestUsefulStart(step)) {
         prospect = Prospect::Expired;
+    } else if (step.isBeyondShare) {
+        prospect = Prospect::Surplus;
     } else if (now > latestTimelyStart(step)) {
         prospect = Prospect::Late;
     }
--- a/src/cell/stepqueue.cpp
+++ b/src/cell/stepqueue.cpp
@@ -52,7 +52,7 @@
         && (entry.ticketQueues.value() & conditions.askableQueues.value()) != 0;
     const bool hasRoom = entry.ticketQueues == TicketQueueMask {} && conditions.room.has_value()
         && fits(entry.size, *conditions.room);
-    return entry.needsAttempt || canAsk || hasRoom;
+    return !entry.isBlocked && (entry.needsAttempt || canAsk || hasRoom);
 }
 
 bool StepQueue::mayHaveEligibleStep(const Chunk &chunk, const RetryConditions &conditions)
@@ -70,6 +70,9 @@
     std::uint64_t asking = 0;
     std::uint64_t usefulAsking = 0;
     for (const Entry &entry : chunk.entries) {
+        if (entry.isBlocked) {
+            continue;
+        }
         chunk.needsAttempt = chunk.needsAttempt || entry.needsAttempt;
         const std::uint64_t askingQueues = entry.isWaitingToAsk ? entry.ticketQueues.value() : 0;
         asking |= askingQueues;
@@ -210,6 +213,7 @@
             change(it->first, [ticketQueues](Entry &entry) {
                 entry.ticketQueues = ticketQueues;
                 entry.needsAttempt = true;
+                entry.isBlocked = false;
             });
         }
     }
@@ -219,7 +223,7 @@
     const Milliseconds objective = ready.empty() ? Milliseconds {0} : objectiveOf(graph.spec);
     for (const TaskRef &step : ready) {
         const ReadyStep readyStep {step, graph.spec.priority, graph.dueAt(step.occurrence),
-            objective, remainingTimeOf(graph.spec, step.step)};
+            objective, remainingTimeOf(graph.spec, step.step), graph.spec.isBeyondShare};
         Entry entry;
         entry.urgency = urgencyOf(readyStep, now);
         entry.prospectChangesAt = nextChangeOf(readyStep, now);
@@ -280,11 +284,25 @@
     for (Chunk &chunk : chunks_) {
         for (Entry &entry : chunk.entries) {
             entry.needsAttempt = true;
+            entry.isBlocked = false;
         }
         summarize(chunk);
     }
 }
 
+void StepQueue::block(const TaskRef &step)
+{
+    change(step, [](Entry &entry) { entry.isBlocked = true; });
+}
+
+void StepQueue::unblock(const TaskRef &step)
+{
+    change(step, [](Entry &entry) {
+        entry.needsAttempt = entry.needsAttempt || entry.isBlocked;
+        entry.isBlocked = false;
+    });
+}
+
 void StepQueue::markAllWaitingToAsk()
 {
     for (Chunk &chunk : chunks_) {
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -262,6 +262,7 @@
     {"upstream", "list", false, "GET", "/v1/upstreams", "", ""},
     {"upstream", "drain", true, "POST", "/v1/upstreams/", "/drain", ""},
     {"upstream", "resume", true, "POST", "/v1/upstreams/", "/resume", ""},
+    {"customer", "list", false, "GET", "/v1/customers", "", ""},
     {"worker", "list", false, "GET", "/v1/workers", "", ""},
     {"worker", "drain", true, "POST", "/v1/workers/", "/drain", ""},
     {"worker", "resume", true, "POST", "/v1/workers/", "/resume", ""},
@@ -347,6 +348,7 @@
   vm list | drain                      drain: the VM asked, as by SIGTERM
   state members | replace VM
   upstream list | drain ID | resume ID
+  customer list
   worker list | drain ID | resume ID | quarantine ID | release ID
   job list | cancel ID
   work show ID | cancel ID
--- a/src/services/dispatchcallhandler.cpp
+++ b/src/services/dispatchcallhandler.cpp
@@ -36,6 +36,9 @@
         }
     })
 {
+    graphs_.onSpareRoomAsked([this](const ServiceName &service) {
+        return dispatcher_ == nullptr || dispatcher_->hasSpareRoom(service);
+    });
     graphs_.onPendingJobsTold([this](const QueueName &queue, std::uint64_t pendingJobs) {
         if (dispatcher_) {
             dispatcher_->onPendingJobsTold(queue, pendingJobs);
@@ -99,6 +102,11 @@
     }
 }
 
+std::string DispatchCallHandler::listCustomers() const
+{
+    return dispatcher_ ? dispatcher_->listCustomers() : "[]";
+}
+
 void DispatchCallHandler::learnWorkers(const std::vector<WorkerHeartbeat> &workers)
 {
     knownWorkers_ = workers;
--- a/src/services/dispatchcallhandler.h
+++ b/src/services/dispatchcallhandler.h
@@ -26,6 +26,8 @@
     void startLeading(Term term, const RunSupervisor::Propose &propose);
     void stopLeading();
     void tick();
+    /// Returns a JSON array with the customers and what they have running.
+    [[nodiscard]] std::string listCustomers() const;
     /// Sets the workers that the current leader has recently heard from.
     void learnWorkers(const std::vector<WorkerHeartbeat> &workers);
 
--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -127,6 +127,7 @@
     const StateMachine &state = parts_.journal.state();
     if (state.catalog().version != queueCatalogVersion_) {
         queueCatalogVersion_ = state.catalog().version;
+        updateCustomers();
         for (const GraphId &id : state.graphs().waitingGraphs()) {
             refresh(id, wall);
         }
@@ -188,6 +189,7 @@
     if (gains.hasOpenedWorker) {
         queue_.markAllWaitingToAsk();
     }
+    unblockBelowLimit();
 }
 
 /// Returns the largest room on any worker that gained room, for each resource separately.
@@ -230,7 +232,7 @@
     for (; next && workDone < maxRoundWork; next = queue_.next(next, chances)) {
         queue_.markAttempted(
             next->step); // first, as the answer to a ticket request may come at once
-        const StepResult result = placeStep(next->step, next->prospect, now);
+        const StepResult result = placeStep(*next, now);
         if (result.waitsForTickets) {
             queue_.markWaitingToAsk(next->step);
         }
@@ -266,17 +268,22 @@
     return demand;
 }
 
-Dispatcher::StepResult Dispatcher::placeStep(
-    const TaskRef &step, Prospect prospect, MonotonicTime now)
+Dispatcher::StepResult Dispatcher::placeStep(const Urgency &urgency, MonotonicTime now)
 {
+    const TaskRef &step = urgency.step;
+    const Prospect prospect = urgency.prospect;
     const Graph *graph = parts_.journal.state().graphs().find(step.graph);
     if (graph == nullptr) {
         graphsToRefresh_.insert(step.graph); // the job ended and was removed between two rounds
         return {};
     }
-    const StepDemand demand = demandOf(*graph, step);
+    const StepDemand waiting = demandOf(*graph, step);
+    const StepDemand demand = limitToCustomer(waiting, *graph);
     if (demand.waiting.empty()) {
         supervisor_->claims().release(step);
+        if (!waiting.waiting.empty()) {
+            blockAtLimit(urgency, graph->spec.customer);
+        }
         return {};
     }
     const Queue *queue = parts_.journal.state().catalog().queueOfJobs(graph->spec.queue);
--- a/src/services/dispatcher.h
+++ b/src/services/dispatcher.h
@@ -57,6 +57,10 @@
     void tick(MonotonicTime now, WallTime wall);
     /// Schedules a round, unless one is scheduled already.
     void scheduleRound();
+    /// Returns whether a job beyond its customer's share finds room that nobody else needs.
+    [[nodiscard]] bool hasSpareRoom(const ServiceName &service) const;
+    /// Returns a JSON array with the use, limit and waiting steps of each customer.
+    [[nodiscard]] std::string listCustomers();
     /// Gives no more orders; called before another dispatcher replaces this one.
     void retire();
     [[nodiscard]] const RunSupervisor &supervisor() const;
@@ -81,7 +85,13 @@
     TicketQueueMask ticketQueuesOf(const QueueName &name);
     [[nodiscard]] TicketTerms termsOf(const Queue &queue, TicketQueueMask waitingQueues) const;
     [[nodiscard]] StepDemand demandOf(const Graph &graph, const TaskRef &step) const;
-    StepResult placeStep(const TaskRef &step, Prospect prospect, MonotonicTime now);
+    StepResult placeStep(const Urgency &urgency, MonotonicTime now);
+    void updateCustomers();
+    [[nodiscard]] StepDemand limitToCustomer(StepDemand demand, const Graph &graph) const;
+    /// Attempts the step no more until the customer has released something.
+    void blockAtLimit(const Urgency &urgency, const CustomerName &customer);
+    void unblockBelowLimit();
+    void reportCustomers();
     [[nodiscard]] std::vector<FleetChoice> choose(StepDemand demand, const Graph &graph,
         const std::optional<std::vector<WorkerId>> &among) const;
     StepResult placeWithTickets(const StepDemand &demand, const Graph &graph, const Queue &queue,
@@ -136,6 +146,9 @@
     GraphRevision queueRevision_;
     DocumentVersion queueCatalogVersion_;
     std::map<QueueName, TicketQueueMask> ticketQueues_;
+    CustomerDirectory customers_; // of queueCatalogVersion_
+    // Steps that wait because their customer is at its limit; may contain others.
+    std::map<CustomerName, std::set<Urgency>> stepsAtLimit_;
     std::set<GraphId> graphsToRefresh_; // to be refreshed although they did not change
     // Workers that have gained room since the last round that tried steps.
     std::set<WorkerId> gainedWorkers_;
--- a/src/services/dispatchheadroom.cpp
+++ b/src/services/dispatchheadroom.cpp
@@ -36,7 +36,7 @@
     if (size == 0 || demand.spec->lasting) {
         return demand;
     }
-    const std::uint32_t priority = prospect == Prospect::Expired
+    const std::uint32_t priority = prospect >= Prospect::Surplus
         ? std::numeric_limits<std::uint32_t>::max()
         : graph.spec.priority;
     const Fleet &fleet = supervisor_->fleet();
--- a/src/services/dispatchlogs.cpp
+++ b/src/services/dispatchlogs.cpp
@@ -32,6 +32,7 @@
     }
     nextLoadReport_ = now + loadReportInterval;
     logLoad(now);
+    reportCustomers();
     const StateMachine &state = parts_.journal.state();
     JobCensus census = countJobs(state.graphs(), supervisor_->begunJobs(), wallTimeNow());
     mergeRenamedQueues(census, state.catalog());
--- a/src/services/dispatchtickets.cpp
+++ b/src/services/dispatchtickets.cpp
@@ -63,7 +63,8 @@
     if (placedCount == demand.waiting.size() || tickets_.hasPendingRequest(step)) {
         return {placedCount, false};
     }
-    const StepDemand remaining = limitToHeadroom(demandOf(graph, step), graph, prospect, now);
+    const StepDemand remaining =
+        limitToHeadroom(limitToCustomer(demandOf(graph, step), graph), graph, prospect, now);
     if (remaining.waiting.empty()) {
         return {placedCount, false};
     }
@@ -131,7 +132,7 @@
     const std::vector<WorkerId> &allowedWorkers, Prospect prospect, MonotonicTime now)
 {
     RoomClaims &claims = supervisor_->claims();
-    if (prospect == Prospect::Expired || demand.spec->oneRack || !claims.canCollect(demand)) {
+    if (prospect >= Prospect::Surplus || demand.spec->oneRack || !claims.canCollect(demand)) {
         return;
     }
     StepSpec anyNumber = *demand.spec;
--- a/src/services/graphcallhandler.cpp
+++ b/src/services/graphcallhandler.cpp
@@ -47,6 +47,7 @@
     : journal_(journal)
     , onChange_(std::move(onChange))
     , fullRecords_(fullRecordInterval)
+    , shareRecords_(fullRecordInterval)
 {
 }
 
@@ -56,6 +57,21 @@
     onPendingJobsTold_ = std::move(observer);
 }
 
+void GraphCallHandler::onSpareRoomAsked(std::function<bool(const ServiceName &)> hasSpareRoom)
+{
+    hasSpareRoom_ = std::move(hasSpareRoom);
+}
+
+void GraphCallHandler::updateCustomers()
+{
+    const Catalog &catalog = journal_.state().catalog();
+    if (catalog.version != customersVersion_) {
+        customersVersion_ = catalog.version;
+        customers_ = CustomerDirectory {catalog.customers};
+        shares_.forgetIdle(monotonicNow());
+    }
+}
+
 void GraphCallHandler::handle(const GraphCall &call, const ReplyHandler &done)
 {
     const Catalog &catalog = journal_.state().catalog();
@@ -70,23 +86,31 @@
         done(Reply {replyWith(GraphOutcome::NoQueue)});
         return;
     }
-    const GraphId id {call.path.substr(queue->prefix.size())};
+    updateCustomers();
+    const Customer *customer = call.key ? customers_.findByKey(*call.key) : nullptr;
+    if (customer == nullptr && !customers_.isEmpty() && !queue->isPublic) {
+        done(Reply {replyWith(GraphOutcome::UnknownKey)});
+        return;
+    }
+    const Request request {*queue, GraphId {call.path.substr(queue->prefix.size())}, customer};
     switch (call.action) {
     case GraphAction::Submit:
-        submit(call, *queue, id, done);
+        submit(call, request, done);
         return;
     case GraphAction::Show:
-        show(*queue, id, done);
+        show(request, done);
         return;
     case GraphAction::Cancel:
-        cancel(*queue, id, done);
+        cancel(request, done);
         return;
     }
 }
 
 void GraphCallHandler::submit(
-    const GraphCall &call, const Queue &queue, const GraphId &id, const ReplyHandler &done)
+    const GraphCall &call, const Request &request, const ReplyHandler &done)
 {
+    const GraphId &id = request.id;
+    const Queue &queue = request.queue;
     if (journal_.state().graphs().find(id) != nullptr) {
         logInfo("job.submitted_again", {{"job", id.value()}});
         done(Reply {replyWith(GraphOutcome::Done)});
@@ -104,6 +128,14 @@
         done(Reply {refusal});
         return;
     }
+    if (const std::optional<Milliseconds> retryAfter = refusalOf(request)) {
+        GraphReply refusal = replyWith(GraphOutcome::Refused);
+        std::uniform_int_distribution<std::int64_t> jitter {0, retryAfter->count()};
+        refusal.retryAfter = *retryAfter + Milliseconds {jitter(random_)};
+        logBeyondShare(request.customer->name, refusal.retryAfter);
+        done(Reply {refusal});
+        return;
+    }
     SubmitGraph command;
     command.spec = call.spec.value_or(GraphSpec {});
     command.spec.id = id;
@@ -113,17 +145,33 @@
     command.spec.attempts = queue.attempts;
     command.spec.slackFactor = queue.slackFactor;
     command.spec.aim = queue.aim;
+    if (request.customer != nullptr) {
+        command.spec.customer = request.customer->name;
+        command.spec.isBeyondShare = !shares_.add(*request.customer, monotonicNow());
+    }
     command.at = wallTimeNow();
-    journal_.propose(command, [this, id, done, name = queue.name](const Result<ApplyReply> &reply) {
-        if (!reply) {
-            done(reply.error());
-            return;
-        }
-        logInfo("job.accepted",
-            {{"job", id.value()}, {"queue", name.value()}, {"again", reply.value().repeated}});
-        onChange_();
-        done(Reply {replyWith(GraphOutcome::Done)});
-    });
+    journal_.propose(command,
+        [this, id, done, name = queue.name, customer = command.spec.customer,
+            isBeyondShare = command.spec.isBeyondShare](const Result<ApplyReply> &reply) {
+            if (!reply) {
+                done(reply.error());
+                return;
+            }
+            logInfo("job.accepted",
+                {{"job", id.value()}, {"queue", name.value()}, {"again", reply.value().repeated},
+                    {"customer", customer.value()}, {"beyond_share", isBeyondShare}});
+            onChange_();
+            done(Reply {replyWith(GraphOutcome::Done)});
+        });
+}
+
+std::optional<Milliseconds> GraphCallHandler::refusalOf(const Request &request) const
+{
+    if (request.customer == nullptr || !hasSpareRoom_ || hasSpareRoom_(request.queue.service)) {
+        return std::nullopt;
+    }
+    const Milliseconds wait = shares_.timeUntilWithin(*request.customer, monotonicNow());
+    return wait == Milliseconds {0} ? std::nullopt : std::optional<Milliseconds> {wait};
 }
 
 void GraphCallHandler::logFull(const Queue &queue, std::uint64_t openTaskCount)
@@ -136,34 +184,51 @@
     }
 }
 
-const Graph *GraphCallHandler::find(const Queue &queue, const GraphId &id) const
+void GraphCallHandler::logBeyondShare(const CustomerName &customer, Milliseconds retryAfter)
+{
+    const std::optional<std::uint64_t> leftOut =
+        shareRecords_.admit(customer.value(), monotonicNow());
+    if (leftOut) {
+        logInfo("job.refused_beyond_share",
+            {{"customer", customer.value()},
+                {"retry_ms", static_cast<std::uint64_t>(retryAfter.count())},
+                {"left_out", *leftOut}});
+    }
+}
+
+const Graph *GraphCallHandler::find(const Request &request) const
 {
-    const Graph *graph = journal_.state().graphs().find(id);
+    const Graph *graph = journal_.state().graphs().find(request.id);
     if (graph == nullptr) {
         return nullptr;
     }
-    const bool isOfQueue = graph->spec.queue == queue.name
-        || journal_.state().catalog().queueOfJobs(graph->spec.queue) == &queue;
-    return isOfQueue ? graph : nullptr;
+    const bool isOfQueue = graph->spec.queue == request.queue.name
+        || journal_.state().catalog().queueOfJobs(graph->spec.queue) == &request.queue;
+    // A customer may come back under another name, so jobs of one that is gone belong to whoever
+    // knows their ids.
+    const Customer *owner = customers_.find(graph->spec.customer);
+    const bool isOfOther = owner != nullptr && !owner->isRemoved && request.customer != owner;
+    return isOfQueue && !isOfOther ? graph : nullptr;
 }
 
-void GraphCallHandler::show(const Queue &queue, const GraphId &id, const ReplyHandler &done)
+void GraphCallHandler::show(const Request &request, const ReplyHandler &done)
 {
     GraphReply reply;
-    if (id.value().empty()) {
-        reply.pending = pendingJobCount(queue);
+    if (request.id.value().empty()) {
+        reply.pending = pendingJobCount(request.queue);
         if (onPendingJobsTold_) {
-            onPendingJobsTold_(queue.name, *reply.pending);
+            onPendingJobsTold_(request.queue.name, *reply.pending);
         }
         done(Reply {reply});
         return;
     }
-    const Graph *graph = find(queue, id);
+    const Graph *graph = find(request);
     if (graph == nullptr) {
-        const Graph *other = journal_.state().graphs().find(id);
+        const Graph *other = journal_.state().graphs().find(request.id);
         logInfo("job.unknown",
-            {{"job", id.value()}, {"queue", queue.name.value()},
+            {{"job", request.id.value()}, {"queue", request.queue.name.value()},
                 {"recorded_queue", other == nullptr ? "" : other->spec.queue.value()},
+                {"recorded_customer", other == nullptr ? "" : other->spec.customer.value()},
                 {"applied", journal_.consensus()->appliedIndex().value()}});
         done(Reply {replyWith(GraphOutcome::NoJob)});
         return;
@@ -173,14 +238,14 @@
     done(Reply {reply});
 }
 
-void GraphCallHandler::cancel(const Queue &queue, const GraphId &id, const ReplyHandler &done)
+void GraphCallHandler::cancel(const Request &request, const ReplyHandler &done)
 {
-    if (find(queue, id) == nullptr) {
+    if (find(request) == nullptr) {
         done(Reply {replyWith(GraphOutcome::NoJob)});
         return;
     }
-    journal_.propose(
-        CancelGraph {id, wallTimeNow()}, [this, id, done](const Result<ApplyReply> &reply) {
+    journal_.propose(CancelGraph {request.id, wallTimeNow()},
+        [this, id = request.id, done](const Result<ApplyReply> &reply) {
             if (!reply) {
                 done(reply.error());
                 return;
--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -303,6 +303,10 @@
 
     void handleCall(const OperatorCall &call, const ReplyHandler &done)
     {
+        if (call.action == OperatorAction::ListCustomers) {
+            done(Reply {OperatorReply {true, dispatch_->listCustomers()}});
+            return;
+        }
         operators_->handle(call, done);
     }
 
--- a/src/services/operators.cpp
+++ b/src/services/operators.cpp
@@ -209,6 +209,9 @@
         if (resource == "jobs") {
             co_return co_await requestAction(OperatorAction::ListJobs);
         }
+        if (resource == "customers") {
+            co_return co_await requestAction(OperatorAction::ListCustomers);
+        }
         if (resource == "environments") {
             co_return co_await requestAction(OperatorAction::ListEnvironments);
         }
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -81,6 +81,9 @@
     Run run;
     run.placement = placement;
     run.spec = spec;
+    const Graph *graph = parts_.state.graphs().find(placement.task.graph);
+    run.customer = graph == nullptr ? CustomerName {} : graph->spec.customer;
+    usage_.take(run.customer, spec.size);
     runs_[placement.task] = std::move(run);
     findOrAddWorker(placement.worker).runs.insert(placement.task);
     fleet_.take(placement.worker, placement.task, spec);
@@ -135,6 +138,7 @@
     }
     const WorkerId worker = run->placement.worker;
     fleet_.release(worker, ended.task, run->spec);
+    usage_.release(run->customer, run->spec.size);
     workers_.at(worker).runs.erase(ended.task);
     runs_.erase(ended.task);
 }
@@ -326,6 +330,16 @@
     return claims_;
 }
 
+CustomerUsage &RunSupervisor::usage()
+{
+    return usage_;
+}
+
+const CustomerUsage &RunSupervisor::usage() const
+{
+    return usage_;
+}
+
 FleetGains RunSupervisor::takeGains()
 {
     return fleet_.takeGains();
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -18,6 +18,7 @@
 
 #include <crocusmill/announcement.h>
 #include <crocusmill/answertimeout.h>
+#include <crocusmill/customerusage.h>
 #include <crocusmill/fleet.h>
 #include <crocusmill/roomclaims.h>
 #include <crocusmill/workerhealth.h>
@@ -139,6 +140,9 @@
     [[nodiscard]] RoomClaims &claims();
     /// Notes a step of the recovery that others see, for the log.
     void noteRecoveryStep(RecoveryStep step);
+    /// Returns what customers have running or may have running.
+    [[nodiscard]] CustomerUsage &usage();
+    [[nodiscard]] const CustomerUsage &usage() const;
     /// Returns the room that the fleet has gained since the last call.
     [[nodiscard]] FleetGains takeGains();
     /// Returns whether a run of the task takes up room on a worker.
@@ -159,6 +163,7 @@
     {
         RunPlacement placement;
         StepSpec spec;
+        CustomerName customer;
         Stage stage = Stage::Reserved;
         std::optional<Ticket> ticket;
         std::optional<WorkerTime> deadline; // of the start order; a resent order keeps it
@@ -300,6 +305,7 @@
     MonotonicTime inheritedLeasesExpireAt_; // all leases of earlier leaders have expired by then
     Fleet fleet_;
     RoomClaims claims_ {fleet_};
+    CustomerUsage usage_; // Invariant: the sum over runs_
     WorkerHealth health_;
     AnswerTimeout answerTimeout_; // of all workers: mostly it is this VM that is slow
     std::map<WorkerId, Worker> workers_;
--- a/src/services/sharedqueries.cpp
+++ b/src/services/sharedqueries.cpp
@@ -33,7 +33,7 @@
 void SharedQueries::query(const Call &call, MonotonicTime deadline, ReplyHandler done)
 {
     const GraphCall &graphCall = std::get<GraphCall>(call);
-    const Key key {graphCall.host, graphCall.path};
+    const Key key {graphCall.host, graphCall.path, graphCall.key.value_or(Digest {})};
     const auto it = openQueries_.find(key);
     if (it == openQueries_.end()) {
         startCall(call, key, {{deadline, std::move(done)}});
--- a/src/services/sharedqueries.h
+++ b/src/services/sharedqueries.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -30,7 +31,7 @@
     void query(const Call &call, MonotonicTime deadline, ReplyHandler done);
 
 private:
-    using Key = std::pair<std::string, std::string>; // host and path
+    using Key = std::tuple<std::string, std::string, Digest>; // host, path and the client's key
 
     struct Waiter
     {
--- a/src/state/catalog.cpp
+++ b/src/state/catalog.cpp
@@ -138,6 +138,22 @@
     return names;
 }
 
+void Catalog::keepCustomersOf(
+    const Catalog &previous, const std::function<bool(const CustomerName &)> &hasOpenJobs)
+{
+    std::set<CustomerName> names;
+    for (const Customer &customer : customers) {
+        names.insert(customer.name);
+    }
+    for (const Customer &customer : previous.customers) {
+        if (!names.contains(customer.name) && hasOpenJobs(customer.name)) {
+            customers.push_back(customer);
+            customers.back().keys.clear();
+            customers.back().isRemoved = true;
+        }
+    }
+}
+
 std::vector<QueueRenaming> Catalog::replaceWith(
     Catalog next, const std::function<bool(const QueueName &)> &hasJobs)
 {
--- a/src/state/graphregistry.cpp
+++ b/src/state/graphregistry.cpp
@@ -381,6 +381,15 @@
     return graphCounts_.contains(queue);
 }
 
+std::set<CustomerName> GraphRegistry::openCustomers() const
+{
+    std::set<CustomerName> customers;
+    for (const GraphId &id : openGraphs_) {
+        customers.insert(find(id)->spec.customer);
+    }
+    return customers;
+}
+
 std::uint64_t GraphRegistry::openTaskCount() const
 {
     return openTaskCount_;
--- a/src/state/graphs.cpp
+++ b/src/state/graphs.cpp
@@ -22,8 +22,12 @@
 {
     const bool isNewerVersion = command.catalog.version > catalog_.version;
     if (isNewerVersion) {
+        Catalog next = command.catalog;
+        const std::set<CustomerName> customers = graphs_.openCustomers();
+        next.keepCustomersOf(
+            catalog_, [&customers](const CustomerName &name) { return customers.contains(name); });
         const std::vector<QueueRenaming> renamings = catalog_.replaceWith(
-            command.catalog, [this](const QueueName &name) { return graphs_.hasGraphsOf(name); });
+            std::move(next), [this](const QueueName &name) { return graphs_.hasGraphsOf(name); });
         for (const QueueRenaming &renaming : renamings) {
             graphs_.renameQueue(renaming.from, renaming.to);
         }
--- a/src/wire/binary.h
+++ b/src/wire/binary.h
@@ -3,7 +3,8 @@
 /// A record consists of the format version, the length and name of its kind, and its body. Integers
 /// are LEB128 (signed integers with zigzag). Strings and vectors have a length prefix, optionals a
 /// flag, and structs their member count. Members missing in a record of an older version keep their
-/// defaults, so new members must be added at the end.
+/// defaults, so new members must be added at the end. Earlier versions refuse a record with members
+/// that they do not know, so these are left out while they have their defaults (laterMemberCount).
 
 #pragma once
 
@@ -26,13 +27,6 @@
 /// First byte of a binary record. No JSON text starts with it.
 inline constexpr char binaryVersion = 1;
 
-template <typename T>
-concept Described = std::is_class_v<T> && boost::describe::has_describe_members<T>::value;
-
-template <typename T>
-using MembersOf = boost::describe::describe_members<T,
-    boost::describe::mod_public | boost::describe::mod_inherited>;
-
 class BinaryWriter
 {
 public:
@@ -121,10 +115,17 @@
 
     template <Described T> void put(const T &value)
     {
-        constexpr std::uint64_t count = boost::mp11::mp_size<MembersOf<T>>::value;
+        std::uint64_t count = boost::mp11::mp_size<MembersOf<T>>::value;
+        if constexpr (laterMemberCount < T >> 0) {
+            count = writtenMemberCount(value);
+        }
         put(count);
-        boost::mp11::mp_for_each<MembersOf<T>>(
-            [&](auto member) { put(value.*decltype(member)::pointer); });
+        std::uint64_t number = 0;
+        boost::mp11::mp_for_each<MembersOf<T>>([&](auto member) {
+            if (number++ < count) {
+                put(value.*decltype(member)::pointer);
+            }
+        });
     }
 
 private:
--- a/src/wire/calljson.h
+++ b/src/wire/calljson.h
@@ -14,7 +14,7 @@
 BOOST_DESCRIBE_ENUM(UpstreamMode, Serving, Draining)
 BOOST_DESCRIBE_ENUM(OperatorAction, ListVms, ListMembers, ListUpstreams, ListWorkers, ListJobs,
     ListEnvironments, DrainVm, DrainUpstream, ResumeUpstream, DrainWorker, ResumeWorker,
-    ReplaceMember)
+    ReplaceMember, ListCustomers)
 
 BOOST_DESCRIBE_STRUCT(ServiceKey, (), (environment, stage, service))
 BOOST_DESCRIBE_STRUCT(SlotLine, (), (upstream, slots))
@@ -55,8 +55,9 @@
 BOOST_DESCRIBE_STRUCT(FormCall, (), (membership))
 BOOST_DESCRIBE_STRUCT(FormReply, (), (accepted))
 BOOST_DESCRIBE_ENUM(GraphAction, Submit, Show, Cancel)
-BOOST_DESCRIBE_ENUM(GraphOutcome, Done, Refused, NoCatalog, NoQueue, NoJob, InvalidId)
-BOOST_DESCRIBE_STRUCT(GraphCall, (), (action, host, path, spec))
+BOOST_DESCRIBE_ENUM(GraphOutcome, Done, Refused, NoCatalog, NoQueue, NoJob, InvalidId, UnknownKey)
+BOOST_DESCRIBE_STRUCT(GraphCall, (), (action, host, path, spec, key))
+template <> inline constexpr std::size_t laterMemberCount<GraphCall> = 1;
 BOOST_DESCRIBE_STRUCT(GraphReply, (), (outcome, state, started, pending, retryAfter))
 BOOST_DESCRIBE_STRUCT(WorkerHeartbeat, (),
     (id, incarnation, address, service, zone, rack, labels, capacity, clock, sequence, draining,
--- a/src/wire/calls.h
+++ b/src/wire/calls.h
@@ -175,6 +175,7 @@
     DrainWorker,
     ResumeWorker,
     ReplaceMember,
+    ListCustomers,
 };
 
 /// Operator's request to the leader. `subject` names the VM, upstream or worker.
@@ -233,6 +234,7 @@
     std::string host;
     std::string path; // the queue's prefix, optionally followed by a job's id
     std::optional<GraphSpec> spec; // job to submit
+    std::optional<Digest> key; // of the caller's customer
 };
 
 enum class GraphOutcome {
@@ -242,6 +244,7 @@
     NoQueue,
     NoJob,
     InvalidId, // a job to submit has no id or one that is too long
+    UnknownKey, // the queue needs a key, and no customer has this one
 };
 
 enum class RefusalOrigin { Leader, OpenLimit, NoLeader };
--- a/src/wire/commandjson.h
+++ b/src/wire/commandjson.h
@@ -44,15 +44,21 @@
 BOOST_DESCRIBE_ENUM(GraphState, Open, Succeeded, Failed, Cancelled)
 BOOST_DESCRIBE_STRUCT(TicketTiming, (), (decision, perWorker, validity))
 BOOST_DESCRIBE_STRUCT(Queue, (),
-    (name, host, prefix, service, priority, attempts, slackFactor, aim, timeout, tickets))
-BOOST_DESCRIBE_STRUCT(Catalog, (), (version, queues, source))
+    (name, host, prefix, service, priority, attempts, slackFactor, aim, timeout, tickets, isPublic))
+template <> inline constexpr std::size_t laterMemberCount<Queue> = 1;
+BOOST_DESCRIBE_STRUCT(ResourceAmount, (), (milliCores, memory, accelerators))
+BOOST_DESCRIBE_STRUCT(Customer, (), (name, keys, weight, limit, isRemoved))
+BOOST_DESCRIBE_STRUCT(Catalog, (), (version, queues, source, customers))
+template <> inline constexpr std::size_t laterMemberCount<Catalog> = 1;
 BOOST_DESCRIBE_STRUCT(InstallCatalog, (), (catalog))
 BOOST_DESCRIBE_STRUCT(StepSpec, (),
     (tasks, size, estimate, after, gang, oneRack, speculative, lasting, checkpoints, fills, label,
         dataRack, mostPerWorker, image, goal, mostUnavailable))
 BOOST_DESCRIBE_STRUCT(Recurrence, (), (times, first, interval))
 BOOST_DESCRIBE_STRUCT(GraphSpec, (),
-    (id, payload, steps, recurrence, queue, service, priority, attempts, slackFactor, aim))
+    (id, payload, steps, recurrence, queue, service, priority, attempts, slackFactor, aim, customer,
+        isBeyondShare))
+template <> inline constexpr std::size_t laterMemberCount<GraphSpec> = 2;
 BOOST_DESCRIBE_STRUCT(TaskRef, (), (graph, occurrence, step, task))
 BOOST_DESCRIBE_STRUCT(RunPlacement, (), (task, run, worker, incarnation))
 BOOST_DESCRIBE_STRUCT(EndedRun, (), (task, run, end, saved))
--- a/src/wire/json.h
+++ b/src/wire/json.h
@@ -10,6 +10,7 @@
 
 #include <boost/describe.hpp>
 #include <boost/json.hpp>
+#include <boost/mp11/algorithm.hpp>
 
 #include <chrono>
 #include <string>
@@ -115,6 +116,86 @@
     return json;
 }
 
+template <typename T>
+concept Described = std::is_class_v<T> && boost::describe::has_describe_members<T>::value;
+
+template <typename T>
+using MembersOf = boost::describe::describe_members<T,
+    boost::describe::mod_public | boost::describe::mod_inherited>;
+
+/// Number of members at the end of T that earlier versions do not know. They are left out of a
+/// record while they have their default values, so that earlier versions can read it.
+template <typename T> inline constexpr std::size_t laterMemberCount = 0;
+
+/// Returns how many members of the record, from the first on, have to be written.
+template <Described T> [[nodiscard]] std::size_t writtenMemberCount(const T &record)
+{
+    constexpr std::size_t formerCount =
+        boost::mp11::mp_size<MembersOf<T>>::value - laterMemberCount<T>;
+    static const T defaults {};
+    std::size_t number = formerCount;
+    std::size_t written = formerCount;
+    boost::mp11::mp_for_each<boost::mp11::mp_drop_c<MembersOf<T>, formerCount>>([&](auto member) {
+        ++number;
+        const bool isDefault =
+            record.*decltype(member)::pointer == defaults.*decltype(member)::pointer;
+        written = isDefault ? written : number;
+    });
+    return written;
+}
+
+template <Described T>
+requires(laterMemberCount<T> > 0) void tag_invoke(
+    boost::json::value_from_tag, boost::json::value &json, const T &record)
+{
+    const std::size_t written = writtenMemberCount(record);
+    boost::json::object &object = json.emplace_object();
+    boost::mp11::mp_for_each<MembersOf<T>>([&](auto member) {
+        if (object.size() < written) {
+            object[decltype(member)::name] =
+                boost::json::value_from(record.*decltype(member)::pointer);
+        }
+    });
+}
+
+template <Described T>
+requires(laterMemberCount<T> > 0) boost::json::result<T> tag_invoke(
+    boost::json::try_value_to_tag<T>, const boost::json::value &json)
+{
+    constexpr std::size_t formerCount =
+        boost::mp11::mp_size<MembersOf<T>>::value - laterMemberCount<T>;
+    const boost::json::object *object = json.if_object();
+    boost::system::error_code error;
+    if (object == nullptr) {
+        error = boost::json::error::not_object;
+        return error;
+    }
+    T record {};
+    std::size_t number = 0;
+    boost::mp11::mp_for_each<MembersOf<T>>([&](auto member) {
+        using Value = std::remove_cvref_t<decltype(record.*decltype(member)::pointer)>;
+        const boost::json::value *found = object->if_contains(decltype(member)::name);
+        const bool isOptional = number++ >= formerCount;
+        if (error || (found == nullptr && isOptional)) {
+            return;
+        }
+        if (found == nullptr) {
+            error = boost::json::error::size_mismatch;
+            return;
+        }
+        boost::json::result<Value> value = boost::json::try_value_to<Value>(*found);
+        if (!value) {
+            error = value.error();
+            return;
+        }
+        record.*decltype(member)::pointer = std::move(*value);
+    });
+    if (error) {
+        return error;
+    }
+    return record;
+}
+
 template <typename T> [[nodiscard]] std::string encodeStruct(const T &record)
 {
     return boost::json::serialize(boost::json::value_from(record));
--- a/test/platformwire.cpp
+++ b/test/platformwire.cpp
@@ -78,6 +78,37 @@
                     .has_value());
 }
 
+TEST_CASE("a document's customers are converted, with digests of their keys")
+{
+    const auto withCustomers = [](const std::string &customers) {
+        return R"({"version":7,"routes":[],"services":[{"name":"s1"}],"tenants":[)" + customers
+            + "]}";
+    };
+    const std::string first = R"({"name":"a","api_keys":["k1","k2"],"prio":1,"weight":76,)"
+                              R"("max_count":{"cpu":14400541,"mem_mb":47980234,"gpu":3}})";
+    const Result<Catalog> read = readCatalog(withCustomers(first));
+    REQUIRE(read.has_value());
+    REQUIRE(read.value().customers.size() == 1);
+    const Customer &customer = read.value().customers[0];
+    CHECK(customer.name == CustomerName {"a"});
+    CHECK(customer.keys == std::vector<Digest> {digestOf("k1"), digestOf("k2")});
+    CHECK(customer.weight == 76);
+    CHECK(customer.limit.milliCores == 14'400'541);
+    CHECK(customer.limit.memory == ByteCount {47'980'234ULL * 1024 * 1024});
+    CHECK(customer.limit.accelerators == 3);
+    CHECK(catalogError(withCustomers(first + R"(,{"name":"b","api_keys":["k2"],"weight":1})"))
+        == WireError::DuplicateKey);
+    CHECK(catalogError(withCustomers(R"({"name":"b","api_keys":["k"],"weight":0})"))
+        == WireError::MissingWeight);
+    for (const std::string odd :
+        {R"({"api_keys":["k"],"weight":1})", R"({"name":"b","api_keys":[3],"weight":1})",
+            R"({"name":"b","weight":-1})", R"({"name":"b","weight":1,"max_count":{"cpu":-1}})",
+            R"("b")", R"({"name":"b","weight":1,"max_count":{"cpu":"many"}})"}) {
+        INFO(odd);
+        CHECK(catalogError(withCustomers(odd)) == WireError::Unreadable);
+    }
+}
+
 TEST_CASE("an invalid document is rejected with the reason")
 {
     const std::string good = routeWith("s1", "/q/", 3000);
