Placement: workers with interfering tasks are chosen last

Cause: nothing told placement that tasks slow each other down.

Change: RunObserver measures the runs that the supervisor sees, from the confirmed start to the listed success, with what ran beside them, and feeds Interference. Fleet::choose takes an optional WorkerRanking: it orders the candidates, visits at most 64 workers more to find some of the best rank, and places as many tasks as without it. Without a found pair there is no ranking and the choice is as before. The gauge interfering_pairs and the log record tasks.interfere tell operators.

--- a/include/crocusmill/fleet.h
+++ b/include/crocusmill/fleet.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <crocusmill/taskgraph.h>
+#include <crocusmill/workerranking.h>
 
 #include <cstddef>
 #include <functional>
@@ -39,6 +40,7 @@
     const StepSpec *spec = nullptr;
     std::vector<std::uint32_t> waiting; // numbers of the tasks to place
     std::set<WorkerId> excludedWorkers;
+    const WorkerRanking *ranking = nullptr; // null: best fit only
 };
 
 struct FleetChoice
@@ -60,6 +62,10 @@
 /// since it uses those that other tasks leave idle.
 [[nodiscard]] TaskSize reservationSize(const StepSpec &spec);
 
+/// Workers that choose() visits to find some of a better rank. If one worker in four is slow and
+/// chance decides which have room, 64 contain a normal one but for less than 1 in 10^30 cases.
+inline constexpr std::size_t maxRankedWorkers = 64;
+
 class Fleet
 {
 public:
@@ -83,7 +89,8 @@
 
     /// Chooses workers for as many waiting tasks as fit, for a gang for all tasks or none. Reserves
     /// nothing. Unless the step has rack preferences, it visits only the chosen workers and those
-    /// with enough free cores that do not match otherwise.
+    /// with enough free cores that do not match otherwise; with a ranking, up to
+    /// maxRankedWorkers more. Places as many tasks with a ranking as without one.
     [[nodiscard]] std::vector<FleetChoice> choose(const StepDemand &demand) const;
     /// Like choose(), but only among `workers`.
     [[nodiscard]] std::vector<FleetChoice> chooseAmong(
@@ -141,6 +148,7 @@
         const WorkerEntry *entry = nullptr;
         std::uint32_t tasks = 0; // how many of them fit
         bool isPreferred = false; // in the rack that has the step's data
+        std::uint32_t rank = 0; // by the demand's ranking
     };
 
     WorkerEntry &findOrAddEntry(const WorkerId &worker);
--- a/src/cell/fleet.cpp
+++ b/src/cell/fleet.cpp
@@ -244,7 +244,9 @@
     if (tasks > 0) {
         const bool isPreferred =
             !spec.dataRack.value().empty() && entry.worker.rack == spec.dataRack;
-        candidates.push_back({&entry, tasks, isPreferred});
+        const std::uint32_t rank =
+            demand.ranking == nullptr ? 0 : demand.ranking->rankOf(entry.worker.id);
+        candidates.push_back({&entry, tasks, isPreferred, rank});
     }
 }
 
@@ -276,14 +278,22 @@
     // Without rack preferences the first workers in the order of free cores are chosen.
     const bool needsAllCandidates = demand.spec->oneRack || !demand.spec->dataRack.value().empty();
     std::uint64_t tasks = 0;
+    std::uint64_t bestRankTasks = 0;
+    std::size_t rankedCount = 0; // workers visited although there was room for all tasks
     for (auto entry = minMilliCores == 0 ? service->openWorkers.begin()
                                          : service->openWorkers.lower_bound(minMilliCores);
          entry != service->openWorkers.end()
-         && (needsAllCandidates || tasks < demand.waiting.size());
+         && (needsAllCandidates || tasks < demand.waiting.size()
+             || (demand.ranking != nullptr && bestRankTasks < demand.waiting.size()
+                 && rankedCount < maxRankedWorkers));
          ++entry) {
         const std::size_t before = candidates.size();
+        rankedCount += tasks < demand.waiting.size() ? 0 : 1;
         appendCandidate(**entry, demand, candidates);
-        tasks += candidates.size() > before ? candidates.back().tasks : 0;
+        if (candidates.size() > before) {
+            tasks += candidates.back().tasks;
+            bestRankTasks += candidates.back().rank == 0 ? candidates.back().tasks : 0;
+        }
     }
     return chooseFrom(demand, std::move(candidates));
 }
@@ -323,8 +333,11 @@
 {
     std::sort(
         candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
-            return left.isPreferred != right.isPreferred ? left.isPreferred
-                                                         : ByFreeCores {}(left.entry, right.entry);
+            if (left.isPreferred != right.isPreferred) {
+                return left.isPreferred;
+            }
+            return left.rank != right.rank ? left.rank < right.rank
+                                           : ByFreeCores {}(left.entry, right.entry);
         });
     if (demand.spec->oneRack) {
         std::set<RackId> racks;
--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -295,6 +295,9 @@
 {
     const Fleet &fleet = supervisor_->fleet();
     demand.excludedWorkers = graph.failedWorkers(demand.step.occurrence, demand.step.step);
+    const std::unique_ptr<WorkerRanking> ranking =
+        supervisor_->observer().rankingFor(*demand.spec, graph.spec.queue, demand.step.step);
+    demand.ranking = ranking.get();
     std::vector<FleetChoice> chosen =
         among ? fleet.chooseAmong(demand, *among) : fleet.choose(demand);
     if (chosen.empty() && !demand.excludedWorkers.empty()) {
--- a/src/services/dispatchlogs.cpp
+++ b/src/services/dispatchlogs.cpp
@@ -32,6 +32,8 @@
     }
     nextLoadReport_ = now + loadReportInterval;
     logLoad(now);
+    parts_.metrics.set({"interfering_pairs", ""},
+        static_cast<double>(supervisor_->observer().interferingPairCount()));
     const StateMachine &state = parts_.journal.state();
     JobCensus census = countJobs(state.graphs(), supervisor_->begunJobs(), wallTimeNow());
     mergeRenamedQueues(census, state.catalog());
--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -178,6 +178,7 @@
         if (run != nullptr && run->placement.worker == id) {
             run->isEnding = true;
             updateHealth(id, end);
+            observer_.onEnded(end.task, end.end, parts_.clock());
         }
         begunJobs_.insert(end.task.graph);
         logLateSuccess(id, end);
@@ -227,6 +228,7 @@
     if (run->stage == Stage::Adopted || run->stage == Stage::Starting) {
         run->stage = Stage::Running;
         run->confirmedAt = parts_.clock();
+        observer_.onListed(listed.task, *run->confirmedAt);
     }
     if (run->stage == Stage::Running) {
         recoverySteps_.reach(RecoveryStep::RunListed, parts_.clock());
--- /dev/null
+++ b/src/services/runobserver.cpp
@@ -0,0 +1,246 @@
+/// Measures runs and what ran beside them.
+
+#include "src/services/runobserver.h"
+
+#include "src/net/log.h"
+
+#include <algorithm>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+constexpr Milliseconds pairRecordInterval {10'000}; // between log records about one pair
+constexpr Milliseconds expiryInterval {5'000};
+/// Kinds without a run on a worker are forgotten above this number of kinds on it.
+constexpr std::size_t maxPresences = 64;
+/// Starts and ends are seen some milliseconds late, so shorter runs cannot be measured.
+constexpr Milliseconds minMeasuredTime {100};
+
+Microseconds asMicroseconds(MonotonicTime::duration duration)
+{
+    return std::chrono::duration_cast<Microseconds>(duration);
+}
+
+} // namespace
+
+/// Ranks workers with interfering tasks last.
+class RunObserver::Ranking : public WorkerRanking
+{
+public:
+    Ranking(const RunObserver &observer, std::set<StepKind> interfering)
+        : observer_(observer)
+        , interfering_(std::move(interfering))
+    {
+    }
+
+    std::uint32_t rankOf(const WorkerId &worker) const override
+    {
+        const auto found = observer_.presences_.find(worker);
+        if (found == observer_.presences_.end()) {
+            return 0;
+        }
+        const Presences &presences = found->second;
+        const bool interferes = std::any_of(
+            interfering_.begin(), interfering_.end(), [&presences](const StepKind &kind) {
+                const auto presence = presences.find(kind);
+                return presence != presences.end() && presence->second.reserved > 0;
+            });
+        return interferes ? 1 : 0;
+    }
+
+private:
+    const RunObserver &observer_;
+    const std::set<StepKind> interfering_;
+};
+
+RunObserver::RunObserver()
+    : pairRecords_(pairRecordInterval)
+{
+}
+
+void RunObserver::onReserved(
+    const RunPlacement &placement, const StepSpec &spec, const QueueName &queue)
+{
+    onReleased(placement.task, {}); // of an earlier run, if any
+    ObservedRun run;
+    run.worker = placement.worker;
+    run.kind = kindOf(spec, queue, placement.task.step);
+    run.estimate = spec.estimate;
+    const bool mayResume = spec.checkpoints && placement.run > RunNumber {1};
+    run.isMeasurable = spec.estimate > Milliseconds {0} && !spec.lasting && !spec.gang
+        && !spec.fills && !mayResume;
+    ++presences_[run.worker][run.kind].reserved;
+    runs_.emplace(placement.task, std::move(run));
+}
+
+void RunObserver::onStarted(const TaskRef &task, MonotonicTime now)
+{
+    const auto it = runs_.find(task);
+    if (it != runs_.end() && !it->second.isRunning && !it->second.hasEnded) {
+        begin(it->second, now);
+    }
+}
+
+void RunObserver::onListed(const TaskRef &task, MonotonicTime now)
+{
+    const auto it = runs_.find(task);
+    if (it != runs_.end() && !it->second.isRunning && !it->second.hasEnded) {
+        it->second.isMeasurable = false; // it began at an unknown time before
+        begin(it->second, now);
+    }
+}
+
+void RunObserver::onEnded(const TaskRef &task, RunEnd end, MonotonicTime now)
+{
+    const auto it = runs_.find(task);
+    if (it == runs_.end() || it->second.hasEnded) {
+        return;
+    }
+    ObservedRun &run = it->second;
+    const bool wasRunning = run.isRunning;
+    finish(run, now);
+    run.hasEnded = true;
+    if (wasRunning && run.isMeasurable && end == RunEnd::Succeeded) {
+        measure(task, run, now);
+    }
+}
+
+void RunObserver::onReleased(const TaskRef &task, MonotonicTime now)
+{
+    const auto it = runs_.find(task);
+    if (it == runs_.end()) {
+        return;
+    }
+    finish(it->second, now);
+    const auto presences = presences_.find(it->second.worker);
+    --presences->second.at(it->second.kind).reserved;
+    const bool isIdle = std::all_of(presences->second.begin(), presences->second.end(),
+        [](const std::pair<const StepKind, KindPresence> &entry) {
+            return entry.second.reserved == 0;
+        });
+    if (isIdle) {
+        presences_.erase(presences);
+    } else if (presences->second.size() > maxPresences) {
+        std::erase_if(presences->second, [](const std::pair<const StepKind, KindPresence> &entry) {
+            return entry.second.reserved == 0;
+        });
+    }
+    runs_.erase(it);
+}
+
+void RunObserver::onWorkerReplaced(const WorkerId &worker)
+{
+    for (std::pair<const TaskRef, ObservedRun> &entry : runs_) {
+        ObservedRun &run = entry.second;
+        if (run.worker == worker && run.isRunning) {
+            finish(run, run.startedAt);
+            run.isMeasurable = false;
+        }
+    }
+}
+
+void RunObserver::begin(ObservedRun &run, MonotonicTime now)
+{
+    run.isRunning = true;
+    run.startedAt = now;
+    Presences &presences = presences_.at(run.worker);
+    for (std::pair<const StepKind, KindPresence> &entry : presences) {
+        countUntil(entry.second, now);
+        run.presenceAtStart[entry.first] =
+            entry.first == run.kind ? entry.second.severalTime : entry.second.anyTime;
+    }
+    ++presences.at(run.kind).running;
+}
+
+void RunObserver::finish(ObservedRun &run, MonotonicTime now)
+{
+    if (run.isRunning) {
+        KindPresence &presence = presences_.at(run.worker).at(run.kind);
+        countUntil(presence, now);
+        --presence.running;
+        run.isRunning = false;
+    }
+}
+
+void RunObserver::countUntil(KindPresence &presence, MonotonicTime now)
+{
+    if (now <= presence.countedUntil) {
+        return;
+    }
+    const Microseconds passed = asMicroseconds(now - presence.countedUntil);
+    presence.anyTime += presence.running > 0 ? passed : Microseconds {0};
+    presence.severalTime += presence.running > 1 ? passed : Microseconds {0};
+    presence.countedUntil = now;
+}
+
+void RunObserver::measure(const TaskRef &task, const ObservedRun &run, MonotonicTime now)
+{
+    const Microseconds took = asMicroseconds(now - run.startedAt);
+    if (took < minMeasuredTime) {
+        return;
+    }
+    MeasuredRun measured {run.kind, task.graph, run.worker,
+        static_cast<double>(took.count())
+            / static_cast<double>(Microseconds {run.estimate}.count()),
+        {}};
+    for (std::pair<const StepKind, KindPresence> &entry : presences_.at(run.worker)) {
+        countUntil(entry.second, now);
+        const Microseconds total =
+            entry.first == run.kind ? entry.second.severalTime : entry.second.anyTime;
+        const auto atStart = run.presenceAtStart.find(entry.first);
+        const Microseconds shared =
+            total - (atStart == run.presenceAtStart.end() ? Microseconds {0} : atStart->second);
+        if (shared > Microseconds {0}) {
+            measured.companions[entry.first] =
+                static_cast<double>(shared.count()) / static_cast<double>(took.count());
+        }
+    }
+    interference_.record(measured, now);
+}
+
+void RunObserver::tick(MonotonicTime now)
+{
+    if (now >= nextExpiryAt_) {
+        nextExpiryAt_ = now + expiryInterval;
+        interference_.expire(now);
+    }
+    logChanges(now);
+}
+
+void RunObserver::logChanges(MonotonicTime now)
+{
+    for (const InterferenceChange &change : interference_.takeChanges()) {
+        const std::string pair = change.slowed.value() + " " + change.companion.value();
+        const std::optional<std::uint64_t> leftOut = pairRecords_.admit(pair, now);
+        if (leftOut) {
+            constexpr double percent = 100;
+            logInfo("tasks.interfere",
+                {{"slowed", change.slowed.value()}, {"beside", change.companion.value()},
+                    {"time_percent", static_cast<std::uint64_t>(change.ratio * percent)},
+                    {"found", change.isFound}, {"left_out", *leftOut}});
+        }
+    }
+}
+
+std::unique_ptr<WorkerRanking> RunObserver::rankingFor(
+    const StepSpec &spec, const QueueName &queue, std::uint32_t step) const
+{
+    if (interference_.pairCount() == 0) {
+        return nullptr;
+    }
+    std::set<StepKind> interfering = interference_.kindsInterferingWith(kindOf(spec, queue, step));
+    if (interfering.empty()) {
+        return nullptr;
+    }
+    return std::make_unique<Ranking>(*this, std::move(interfering));
+}
+
+std::size_t RunObserver::interferingPairCount() const
+{
+    return interference_.pairCount();
+}
+
+} // namespace crocusmill
--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -117,6 +117,7 @@
     case StartOutcome::Started:
         run->stage = Stage::Running;
         run->confirmedAt = now;
+        run->sentOrderCount == 1 ? observer_.onStarted(task, now) : observer_.onListed(task, now);
         worker.refusalCount = 0;
         return;
     case StartOutcome::NotSent:
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -84,6 +84,8 @@
     runs_[placement.task] = std::move(run);
     findOrAddWorker(placement.worker).runs.insert(placement.task);
     fleet_.take(placement.worker, placement.task, spec);
+    const Graph *graph = parts_.state.graphs().find(placement.task.graph);
+    observer_.onReserved(placement, spec, graph == nullptr ? QueueName {} : graph->spec.queue);
 }
 
 void RunSupervisor::cancelReservation(const TaskRef &task)
@@ -135,6 +137,7 @@
     }
     const WorkerId worker = run->placement.worker;
     fleet_.release(worker, ended.task, run->spec);
+    observer_.onReleased(ended.task, parts_.clock());
     workers_.at(worker).runs.erase(ended.task);
     runs_.erase(ended.task);
 }
@@ -213,6 +216,7 @@
 void RunSupervisor::sweep(MonotonicTime now)
 {
     countFailingWorkers();
+    observer_.tick(now);
     std::vector<WorkerId> ids;
     ids.reserve(workers_.size());
     for (const std::pair<const WorkerId, Worker> &entry : workers_) {
@@ -321,6 +325,11 @@
     return fleet_;
 }
 
+const RunObserver &RunSupervisor::observer() const
+{
+    return observer_;
+}
+
 RoomClaims &RunSupervisor::claims()
 {
     return claims_;
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -14,6 +14,7 @@
 #include "src/net/loglimiter.h"
 #include "src/services/interfaces.h"
 #include "src/services/recoverysteps.h"
+#include "src/services/runobserver.h"
 #include "src/services/workerlink.h"
 
 #include <crocusmill/announcement.h>
@@ -135,6 +136,8 @@
     void forgetClosedJobs();
 
     [[nodiscard]] const Fleet &fleet() const;
+    /// What was learned from the runs on the workers.
+    [[nodiscard]] const RunObserver &observer() const;
     /// Room that steps keep in the fleet while they wait for tickets.
     [[nodiscard]] RoomClaims &claims();
     /// Notes a step of the recovery that others see, for the log.
@@ -301,6 +304,7 @@
     Fleet fleet_;
     RoomClaims claims_ {fleet_};
     WorkerHealth health_;
+    RunObserver observer_; // Invariant: has the same runs as runs_
     AnswerTimeout answerTimeout_; // of all workers: mostly it is this VM that is slow
     std::map<WorkerId, Worker> workers_;
     // As of the last sweep:
