--- a/include/crocusmill/interference.h
+++ b/include/crocusmill/interference.h
@@ -8,7 +8,7 @@
 
 #pragma once
 
-#include <crocusmill/taskgraph.h>
+#include <crocusmill/measuredrun.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -19,24 +19,6 @@
 namespace crocusmill
 {
 
-/// Tasks of the same kind behave alike: they have the same image or, without one, the same queue
-/// and number of their step.
-using StepKind = StrongValue<struct StepKindTag, std::string>;
-
-[[nodiscard]] StepKind kindOf(const StepSpec &spec, const QueueName &queue, std::uint32_t step);
-
-/// A run that has succeeded.
-struct MeasuredRun
-{
-    StepKind kind;
-    GraphId job;
-    WorkerId worker;
-    /// Measured time relative to the expected one; positive.
-    double relativeTime = 1;
-    /// For each kind that ran alongside it on the worker, which part of the run it did, 0 to 1.
-    std::map<StepKind, double> companions;
-};
-
 /// A pair of kinds that was found or discarded.
 struct InterferenceChange
 {
--- a/src/cell/interference.cpp
+++ b/src/cell/interference.cpp
@@ -72,14 +72,6 @@
 
 } // namespace
 
-StepKind kindOf(const StepSpec &spec, const QueueName &queue, std::uint32_t step)
-{
-    // The prefixes keep an image apart from a queue of the same name.
-    return StepKind {spec.image.value().empty()
-            ? "step:" + queue.value() + "/" + std::to_string(step)
-            : "image:" + spec.image.value()};
-}
-
 void Interference::record(const MeasuredRun &run, MonotonicTime now)
 {
     if (!track(run.kind, now)) {
