Placement: slow workers for steps that can wait, the others for those in time

Cause: best fit takes no notice of the speed of a worker.

Change: RunObserver also feeds WorkerSpeeds, leaving out runs beside tasks that interfere with them, and its ranking puts workers of the other class of speed after those of the preferred one: steps in time and gangs prefer workers that are not slow, late and expired steps the slow ones. Interfering tasks still come last of all. Runs whose time depends on the rack are not measured. Gauges workers_slow and worker_speed_slowest, log record worker.speed.

--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -82,6 +82,7 @@
 {
     supervisor_->retire();
     jobReport_.clearGauges();
+    reportWorkerDifferences(RunObserver {});
 }
 
 void Dispatcher::scheduleRound()
@@ -284,19 +285,19 @@
         return placeWithTickets(demand, *graph, *queue, prospect, now);
     }
     const std::vector<FleetChoice> chosen =
-        choose(limitToHeadroom(demand, *graph, prospect, now), *graph, std::nullopt);
+        choose(limitToHeadroom(demand, *graph, prospect, now), *graph, prospect, std::nullopt);
     reservePlacements(demand, *graph, chosen, now);
     return {chosen.size(), false};
 }
 
 /// Avoids workers on which the newest run of a waiting task failed, unless no other worker fits.
-std::vector<FleetChoice> Dispatcher::choose(
-    StepDemand demand, const Graph &graph, const std::optional<std::vector<WorkerId>> &among) const
+std::vector<FleetChoice> Dispatcher::choose(StepDemand demand, const Graph &graph,
+    Prospect prospect, const std::optional<std::vector<WorkerId>> &among) const
 {
     const Fleet &fleet = supervisor_->fleet();
     demand.excludedWorkers = graph.failedWorkers(demand.step.occurrence, demand.step.step);
-    const std::unique_ptr<WorkerRanking> ranking =
-        supervisor_->observer().rankingFor(*demand.spec, graph.spec.queue, demand.step.step);
+    const std::unique_ptr<WorkerRanking> ranking = supervisor_->observer().rankingFor(
+        *demand.spec, graph.spec.queue, demand.step.step, prospect);
     demand.ranking = ranking.get();
     std::vector<FleetChoice> chosen =
         among ? fleet.chooseAmong(demand, *among) : fleet.choose(demand);
--- a/src/services/dispatcher.h
+++ b/src/services/dispatcher.h
@@ -83,7 +83,7 @@
     [[nodiscard]] StepDemand demandOf(const Graph &graph, const TaskRef &step) const;
     StepResult placeStep(const TaskRef &step, Prospect prospect, MonotonicTime now);
     [[nodiscard]] std::vector<FleetChoice> choose(StepDemand demand, const Graph &graph,
-        const std::optional<std::vector<WorkerId>> &among) const;
+        Prospect prospect, const std::optional<std::vector<WorkerId>> &among) const;
     StepResult placeWithTickets(const StepDemand &demand, const Graph &graph, const Queue &queue,
         Prospect prospect, MonotonicTime now);
     StepResult placeOrAsk(const StepDemand &demand, const Graph &graph, const Queue &queue,
@@ -116,6 +116,7 @@
     void forgetTickets(const GraphId &id);
     void reportRound(MonotonicTime startedAt, std::size_t readyStepCount);
     void logLoad(MonotonicTime now);
+    void reportWorkerDifferences(const RunObserver &observer);
 
     /// Statistics of the rounds since the last "dispatch.load" log record.
     struct RoundStats
--- a/src/services/dispatchlogs.cpp
+++ b/src/services/dispatchlogs.cpp
@@ -32,14 +32,21 @@
     }
     nextLoadReport_ = now + loadReportInterval;
     logLoad(now);
-    parts_.metrics.set({"interfering_pairs", ""},
-        static_cast<double>(supervisor_->observer().interferingPairCount()));
+    reportWorkerDifferences(supervisor_->observer());
     const StateMachine &state = parts_.journal.state();
     JobCensus census = countJobs(state.graphs(), supervisor_->begunJobs(), wallTimeNow());
     mergeRenamedQueues(census, state.catalog());
     jobReport_.report(census, parts_.term, parts_.journal.consensus()->appliedIndex());
 }
 
+void Dispatcher::reportWorkerDifferences(const RunObserver &observer)
+{
+    parts_.metrics.set({"worker_speed_slowest", ""}, observer.speeds().slowestSpeed());
+    parts_.metrics.set({"workers_slow", ""}, static_cast<double>(observer.speeds().slowCount()));
+    parts_.metrics.set(
+        {"interfering_pairs", ""}, static_cast<double>(observer.interferingPairCount()));
+}
+
 void Dispatcher::logLoad(MonotonicTime now)
 {
     const RoundStats stats = std::exchange(stats_, {});
--- a/src/services/dispatchtickets.cpp
+++ b/src/services/dispatchtickets.cpp
@@ -57,7 +57,7 @@
         return {};
     }
     const std::vector<FleetChoice> chosen =
-        choose(limited, graph, tickets_.workersWithTicket(step, now + minTicketValidity));
+        choose(limited, graph, prospect, tickets_.workersWithTicket(step, now + minTicketValidity));
     reservePlacements(demand, graph, chosen, now);
     const std::size_t placedCount = chosen.size();
     if (placedCount == demand.waiting.size() || tickets_.hasPendingRequest(step)) {
@@ -68,7 +68,7 @@
         return {placedCount, false};
     }
     const std::vector<WorkerId> allowedWorkers = tickets_.allowedWorkers(step);
-    const std::vector<FleetChoice> allowed = choose(remaining, graph, allowedWorkers);
+    const std::vector<FleetChoice> allowed = choose(remaining, graph, prospect, allowedWorkers);
     const TicketTerms terms = termsOf(queue, queue_.queuesWaitingToAsk());
     const bool canAsk = ticketClient_.canAsk(terms, minAskedWorkers, now);
     if (!allowed.empty() && canAsk) {
@@ -138,7 +138,7 @@
     anyNumber.gang = false;
     StepDemand part = demand;
     part.spec = &anyNumber;
-    const std::vector<FleetChoice> found = choose(part, graph, allowedWorkers);
+    const std::vector<FleetChoice> found = choose(part, graph, prospect, allowedWorkers);
     if (!found.empty()) {
         claims.collect(demand, found, now);
     }
--- a/src/services/runobserver.cpp
+++ b/src/services/runobserver.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-constexpr Milliseconds pairRecordInterval {10'000}; // between log records about one pair
+constexpr Milliseconds recordInterval {10'000}; // between log records about one pair or worker
 constexpr Milliseconds expiryInterval {5'000};
 /// Kinds without a run on a worker are forgotten above this number of kinds on it.
 constexpr std::size_t maxPresences = 64;
@@ -26,38 +26,47 @@
 
 } // namespace
 
-/// Ranks workers with interfering tasks last.
+/// Ranks workers by their class of speed, and those with interfering tasks after all others.
 class RunObserver::Ranking : public WorkerRanking
 {
 public:
-    Ranking(const RunObserver &observer, std::set<StepKind> interfering)
+    Ranking(const RunObserver &observer, std::set<StepKind> interfering, bool prefersSlow)
         : observer_(observer)
         , interfering_(std::move(interfering))
+        , prefersSlow_(prefersSlow)
     {
     }
 
     std::uint32_t rankOf(const WorkerId &worker) const override
+    {
+        const bool isOfOtherClass =
+            observer_.speeds_.slowCount() > 0 && observer_.speeds_.isSlow(worker) != prefersSlow_;
+        return (interferesOn(worker) ? 2 : 0) + (isOfOtherClass ? 1 : 0);
+    }
+
+private:
+    [[nodiscard]] bool interferesOn(const WorkerId &worker) const
     {
         const auto found = observer_.presences_.find(worker);
-        if (found == observer_.presences_.end()) {
-            return 0;
+        if (interfering_.empty() || found == observer_.presences_.end()) {
+            return false;
         }
         const Presences &presences = found->second;
-        const bool interferes = std::any_of(
+        return std::any_of(
             interfering_.begin(), interfering_.end(), [&presences](const StepKind &kind) {
                 const auto presence = presences.find(kind);
                 return presence != presences.end() && presence->second.reserved > 0;
             });
-        return interferes ? 1 : 0;
     }
 
-private:
     const RunObserver &observer_;
     const std::set<StepKind> interfering_;
+    const bool prefersSlow_;
 };
 
 RunObserver::RunObserver()
-    : pairRecords_(pairRecordInterval)
+    : pairRecords_(recordInterval)
+    , speedRecords_(recordInterval)
 {
 }
 
@@ -71,7 +80,7 @@
     run.estimate = spec.estimate;
     const bool mayResume = spec.checkpoints && placement.run > RunNumber {1};
     run.isMeasurable = spec.estimate > Milliseconds {0} && !spec.lasting && !spec.gang
-        && !spec.fills && !mayResume;
+        && !spec.fills && !spec.oneRack && spec.dataRack.value().empty() && !mayResume;
     ++presences_[run.worker][run.kind].reserved;
     runs_.emplace(placement.task, std::move(run));
 }
@@ -133,6 +142,7 @@
 
 void RunObserver::onWorkerReplaced(const WorkerId &worker)
 {
+    speeds_.forget(worker);
     for (std::pair<const TaskRef, ObservedRun> &entry : runs_) {
         ObservedRun &run = entry.second;
         if (run.worker == worker && run.isRunning) {
@@ -198,6 +208,14 @@
                 static_cast<double>(shared.count()) / static_cast<double>(took.count());
         }
     }
+    const double speed = speeds_.isSlow(run.worker) ? speeds_.speedOf(run.worker) : 1;
+    const std::set<StepKind> interfering = interference_.kindsInterferingWith(run.kind);
+    const bool isDisturbed = std::any_of(interfering.begin(), interfering.end(),
+        [&measured](const StepKind &kind) { return measured.companions.contains(kind); });
+    if (!isDisturbed) {
+        speeds_.record(measured, now);
+    }
+    measured.relativeTime *= speed;
     interference_.record(measured, now);
 }
 
@@ -206,17 +224,28 @@
     if (now >= nextExpiryAt_) {
         nextExpiryAt_ = now + expiryInterval;
         interference_.expire(now);
+        speeds_.expire(now);
     }
     logChanges(now);
 }
 
 void RunObserver::logChanges(MonotonicTime now)
 {
+    constexpr double percent = 100;
+    for (const WorkerSpeedChange &change : speeds_.takeChanges()) {
+        const std::optional<std::uint64_t> leftOut =
+            speedRecords_.admit(change.worker.value(), now);
+        if (leftOut) {
+            logInfo("worker.speed",
+                {{"worker", change.worker.value()}, {"slow", change.isSlow},
+                    {"speed_percent", static_cast<std::uint64_t>(change.speed * percent)},
+                    {"left_out", *leftOut}});
+        }
+    }
     for (const InterferenceChange &change : interference_.takeChanges()) {
         const std::string pair = change.slowed.value() + " " + change.companion.value();
         const std::optional<std::uint64_t> leftOut = pairRecords_.admit(pair, now);
         if (leftOut) {
-            constexpr double percent = 100;
             logInfo("tasks.interfere",
                 {{"slowed", change.slowed.value()}, {"beside", change.companion.value()},
                     {"time_percent", static_cast<std::uint64_t>(change.ratio * percent)},
@@ -226,16 +255,23 @@
 }
 
 std::unique_ptr<WorkerRanking> RunObserver::rankingFor(
-    const StepSpec &spec, const QueueName &queue, std::uint32_t step) const
+    const StepSpec &spec, const QueueName &queue, std::uint32_t step, Prospect prospect) const
 {
-    if (interference_.pairCount() == 0) {
-        return nullptr;
+    std::set<StepKind> interfering;
+    if (interference_.pairCount() > 0) {
+        interfering = interference_.kindsInterferingWith(kindOf(spec, queue, step));
     }
-    std::set<StepKind> interfering = interference_.kindsInterferingWith(kindOf(spec, queue, step));
-    if (interfering.empty()) {
+    if (interfering.empty() && speeds_.slowCount() == 0) {
         return nullptr;
     }
-    return std::make_unique<Ranking>(*this, std::move(interfering));
+    // The slowest member decides about a gang, so a mix of workers is as slow as the slow ones.
+    const bool prefersSlow = prospect != Prospect::InTime && !spec.gang;
+    return std::make_unique<Ranking>(*this, std::move(interfering), prefersSlow);
+}
+
+const WorkerSpeeds &RunObserver::speeds() const
+{
+    return speeds_;
 }
 
 std::size_t RunObserver::interferingPairCount() const
--- a/src/services/runobserver.h
+++ b/src/services/runobserver.h
@@ -1,17 +1,20 @@
-/// Learns from the runs that the supervisor sees which kinds of tasks slow each other down, and
-/// ranks workers by it.
+/// Learns from the runs that the supervisor sees which workers are slow and which kinds of tasks
+/// slow each other down, and ranks workers by it.
 ///
 /// A run is measured from the confirmation of its start to the list that shows that it succeeded.
 /// Not measured are runs whose time depends on something else: those adopted from an earlier
-/// leader, of services, of gangs (members wait for each other), of steps that fill idle cores, and
-/// runs that go on from a checkpoint. They count as companions of others.
+/// leader, of services, of gangs (members wait for each other), of steps that fill idle cores or
+/// whose time depends on the rack, and runs that go on from a checkpoint. They count as companions
+/// of others.
 
 #pragma once
 
 #include "src/net/loglimiter.h"
 
+#include <crocusmill/graphorder.h>
 #include <crocusmill/interference.h>
 #include <crocusmill/workerranking.h>
+#include <crocusmill/workerspeeds.h>
 
 #include <map>
 #include <memory>
@@ -39,10 +42,12 @@
     /// Discards what is outdated, and logs what changed.
     void tick(MonotonicTime now);
 
-    /// Returns the order of workers for the step; null if nothing is known that concerns it. Valid
-    /// until the next call of another function.
+    /// Returns the order of workers for the step; null if nothing is known that concerns it. Must
+    /// not outlive the observer. Steps in time, and gangs, prefer workers that are not slow, other
+    /// steps the slow ones. Workers with interfering tasks come after all others.
     [[nodiscard]] std::unique_ptr<WorkerRanking> rankingFor(
-        const StepSpec &spec, const QueueName &queue, std::uint32_t step) const;
+        const StepSpec &spec, const QueueName &queue, std::uint32_t step, Prospect prospect) const;
+    [[nodiscard]] const WorkerSpeeds &speeds() const;
     [[nodiscard]] std::size_t interferingPairCount() const;
 
 private:
@@ -79,12 +84,14 @@
     void measure(const TaskRef &task, const ObservedRun &run, MonotonicTime now);
     void logChanges(MonotonicTime now);
 
+    WorkerSpeeds speeds_;
     Interference interference_;
     // Invariant: the runs that take up room on a worker.
     std::map<TaskRef, ObservedRun> runs_;
     // Invariant: contains each kind of which a run takes up room on the worker.
     std::map<WorkerId, Presences> presences_;
     LogLimiter pairRecords_; // by pair
+    LogLimiter speedRecords_; // by worker
     MonotonicTime nextExpiryAt_ {};
 };
 
--- a/test/runobserver.cpp
+++ b/test/runobserver.cpp
@@ -100,22 +100,24 @@
 {
     Watched watched;
     const StepSpec step = stepWith(slowed);
-    CHECK(watched.observer.rankingFor(step, queue, 0) == nullptr);
+    CHECK(watched.observer.rankingFor(step, queue, 0, Prospect::InTime) == nullptr);
     watched.learn(step);
     CHECK(watched.observer.interferingPairCount() == 1);
     watched.reserve(3, stepWith(cause)); // not started yet
     watched.reserve(4, step);
-    const std::unique_ptr<WorkerRanking> ranking = watched.observer.rankingFor(step, queue, 0);
+    const std::unique_ptr<WorkerRanking> ranking =
+        watched.observer.rankingFor(step, queue, 0, Prospect::InTime);
     REQUIRE(ranking != nullptr);
-    CHECK(ranking->rankOf(workerNumber(3)) == 1);
+    CHECK(ranking->rankOf(workerNumber(3)) == 2);
     CHECK(ranking->rankOf(workerNumber(4)) == 0);
     CHECK(ranking->rankOf(workerNumber(5)) == 0);
     // The tasks that would be slowed down count too.
     const std::unique_ptr<WorkerRanking> reverse =
-        watched.observer.rankingFor(stepWith(cause), queue, 0);
+        watched.observer.rankingFor(stepWith(cause), queue, 0, Prospect::InTime);
     REQUIRE(reverse != nullptr);
-    CHECK(reverse->rankOf(workerNumber(4)) == 1);
-    CHECK(watched.observer.rankingFor(stepWith(ImageName {"other"}), queue, 0) == nullptr);
+    CHECK(reverse->rankOf(workerNumber(4)) == 2);
+    CHECK(watched.observer.rankingFor(stepWith(ImageName {"other"}), queue, 0, Prospect::InTime)
+        == nullptr);
     watched.end(3);
     CHECK(ranking->rankOf(workerNumber(3)) == 0);
 }
@@ -145,6 +147,10 @@
     {
         step.fills = true;
     }
+    SECTION("its time depends on the rack")
+    {
+        step.dataRack = RackId {"r"};
+    }
     SECTION("no estimate")
     {
         step.estimate = Milliseconds {0};
@@ -189,11 +195,38 @@
     watched.observer.onListed(taskOf(3), watched.now);
     watched.end(3);
     watched.end(3); // again: no effect
-    const std::unique_ptr<WorkerRanking> ranking = watched.observer.rankingFor(step, queue, 0);
+    const std::unique_ptr<WorkerRanking> ranking =
+        watched.observer.rankingFor(step, queue, 0, Prospect::InTime);
     REQUIRE(ranking != nullptr);
     CHECK(ranking->rankOf(workerNumber(3)) == 0);
 }
 
+// Fails if slow workers are not preferred by the steps that can wait and left by the others, or if
+// a new process inherits the class.
+TEST_CASE("steps in time and gangs prefer workers that are not slow, others the slow ones")
+{
+    Watched watched;
+    const StepSpec step = stepWith(slowed);
+    for (int i = 0; i < 8 * 40; ++i) {
+        // The number of the worker is that of the job, see runOnce().
+        const bool isOnSlowWorker = (watched.jobs + 1) % 8 == 2;
+        watched.runOnce(step, Milliseconds {isOnSlowWorker ? 2'200 : 1'000}, false);
+    }
+    const RunObserver &observer = watched.observer;
+    REQUIRE(observer.speeds().slowCount() == 1);
+    REQUIRE(observer.speeds().isSlow(workerNumber(2)));
+    CHECK(observer.interferingPairCount() == 0);
+    StepSpec gang = step;
+    gang.gang = true;
+    CHECK(observer.rankingFor(step, queue, 0, Prospect::InTime)->rankOf(workerNumber(2)) == 1);
+    CHECK(observer.rankingFor(step, queue, 0, Prospect::InTime)->rankOf(workerNumber(1)) == 0);
+    CHECK(observer.rankingFor(step, queue, 0, Prospect::Late)->rankOf(workerNumber(2)) == 0);
+    CHECK(observer.rankingFor(step, queue, 0, Prospect::Late)->rankOf(workerNumber(1)) == 1);
+    CHECK(observer.rankingFor(gang, queue, 0, Prospect::Late)->rankOf(workerNumber(2)) == 1);
+    watched.observer.onWorkerReplaced(workerNumber(2));
+    CHECK(observer.rankingFor(step, queue, 0, Prospect::InTime) == nullptr);
+}
+
 // Fails if the supervisor does not pass on starts, ends and releases.
 TEST_CASE("the supervisor records the runs that workers confirm and list")
 {
@@ -271,9 +304,9 @@
     CHECK(supervisor->fleet().usedMilliCores(ServiceName {"matching"}) == 0);
     begin("last", cause, 2);
     const std::unique_ptr<WorkerRanking> ranking =
-        supervisor->observer().rankingFor(stepWith(slowed), queue, 0);
+        supervisor->observer().rankingFor(stepWith(slowed), queue, 0, Prospect::InTime);
     REQUIRE(ranking != nullptr);
-    CHECK(ranking->rankOf(workerNumber(2)) == 1);
+    CHECK(ranking->rankOf(workerNumber(2)) == 2);
     CHECK(ranking->rankOf(workerNumber(1)) == 0);
     supervisor->retire();
 }
