--- a/include/crocusmill/workerspeeds.h
+++ b/include/crocusmill/workerspeeds.h
@@ -32,7 +32,7 @@
 public:
     /// Records a run whose `relativeTime` is relative to its estimate.
     void record(const MeasuredRun &run, MonotonicTime now);
-    /// Drops the history of a worker, such as one with a new incarnation.
+    /// Drops the history of a worker.
     void forget(const WorkerId &worker);
     /// Drops runs that are older than the retention period.
     void expire(MonotonicTime now);
