RunObserver: a replaced process costs only its own runs

Cause: for each replaced process all runs were visited. A new leader hears each worker for the first time, so it would have visited every adopted run once for each worker.

Change: the supervisor passes the runs of the worker.

Run: test_runobserver 35, test_slowworkers 10, test_runsupervisor 116, test_workerevidence 73, test_dispatcher 22 and test_workerranking 12 assertions pass.

--- a/src/services/runobserver.cpp
+++ b/src/services/runobserver.cpp
@@ -140,14 +140,14 @@
     runs_.erase(it);
 }
 
-void RunObserver::onWorkerReplaced(const WorkerId &worker)
+void RunObserver::onWorkerReplaced(const WorkerId &worker, const std::set<TaskRef> &runs)
 {
     speeds_.forget(worker);
-    for (std::pair<const TaskRef, ObservedRun> &entry : runs_) {
-        ObservedRun &run = entry.second;
-        if (run.worker == worker && run.isRunning) {
-            finish(run, run.startedAt);
-            run.isMeasurable = false;
+    for (const TaskRef &task : runs) {
+        const auto it = runs_.find(task);
+        if (it != runs_.end() && it->second.isRunning) {
+            finish(it->second, it->second.startedAt);
+            it->second.isMeasurable = false;
         }
     }
 }
--- a/src/services/runobserver.h
+++ b/src/services/runobserver.h
@@ -18,6 +18,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 namespace crocusmill
 {
@@ -38,7 +39,8 @@
     /// The run takes up no room any more.
     void onReleased(const TaskRef &task, MonotonicTime now);
     /// Another process runs under the id of the worker: drops what was seen of the earlier one.
-    void onWorkerReplaced(const WorkerId &worker);
+    /// `runs` are the runs that take up room on the worker.
+    void onWorkerReplaced(const WorkerId &worker, const std::set<TaskRef> &runs);
     /// Discards what is outdated, and logs what changed.
     void tick(MonotonicTime now);
 
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -145,7 +145,7 @@
     worker.refusalCount = 0;
     worker.backoffUntil = {};
     health_.forget(heartbeat.id);
-    observer_.onWorkerReplaced(heartbeat.id);
+    observer_.onWorkerReplaced(heartbeat.id, worker.runs);
     worker.heartbeat = heartbeat;
     worker.hasHeartbeat = false;
     worker.hasIncarnation = true;
--- a/test/runobserver.cpp
+++ b/test/runobserver.cpp
@@ -190,7 +190,7 @@
     REQUIRE(watched.observer.interferingPairCount() == 1);
     watched.reserve(3, stepWith(cause));
     watched.observer.onStarted(taskOf(3), watched.now);
-    watched.observer.onWorkerReplaced(workerNumber(3));
+    watched.observer.onWorkerReplaced(workerNumber(3), {taskOf(3)});
     watched.now += Milliseconds {60'000};
     watched.observer.onListed(taskOf(3), watched.now);
     watched.end(3);
@@ -223,7 +223,7 @@
     CHECK(observer.rankingFor(step, queue, 0, Prospect::Late)->rankOf(workerNumber(2)) == 0);
     CHECK(observer.rankingFor(step, queue, 0, Prospect::Late)->rankOf(workerNumber(1)) == 1);
     CHECK(observer.rankingFor(gang, queue, 0, Prospect::Late)->rankOf(workerNumber(2)) == 1);
-    watched.observer.onWorkerReplaced(workerNumber(2));
+    watched.observer.onWorkerReplaced(workerNumber(2), {});
     CHECK(observer.rankingFor(step, queue, 0, Prospect::InTime) == nullptr);
 }
 
--- a/test/workerranking.cpp
+++ b/test/workerranking.cpp
@@ -58,6 +58,7 @@
 std::vector<std::pair<std::uint32_t, WorkerId>> toPairs(const std::vector<FleetChoice> &chosen)
 {
     std::vector<std::pair<std::uint32_t, WorkerId>> pairs;
+    pairs.reserve(chosen.size());
     for (const FleetChoice &choice : chosen) {
         pairs.emplace_back(choice.task, choice.worker);
     }
