Placement: steps that can wait leave fast workers to others, earlier

A wrong guess only changes which of the workers with room is taken, so the order now uses isLikelySlow(): five jobs at 3.5 standard errors. The class that is logged keeps its proof.

A step in time that would still be so on a worker that needs three times its estimates can wait and takes the slow ones; before, every step in time took the fast ones. Ticket requests ask for slow workers last unless the step can wait.

--- a/include/crocusmill/graphorder.h
+++ b/include/crocusmill/graphorder.h
@@ -58,6 +58,11 @@
 /// depend on it.
 [[nodiscard]] Milliseconds remainingTimeOf(const GraphSpec &spec, std::uint32_t step);
 
+/// Returns whether the job ends in time if the step starts now on workers that need `slowdown`
+/// times the estimated times.
+[[nodiscard]] bool canEndInTime(
+    const Graph &graph, const TaskRef &step, double slowdown, WallTime now);
+
 void sortByUrgency(std::vector<ReadyStep> &steps, WallTime now);
 
 } // namespace crocusmill
--- a/include/crocusmill/workerspeeds.h
+++ b/include/crocusmill/workerspeeds.h
@@ -41,6 +41,10 @@
     [[nodiscard]] double speedOf(const WorkerId &worker) const;
     /// Returns whether the speed is clearly below 0.8.
     [[nodiscard]] bool isSlow(const WorkerId &worker) const;
+    /// Returns whether the worker is slow, or seems so by fewer runs than isSlow() asks for. A
+    /// wrong guess only changes which of the workers with room is taken.
+    [[nodiscard]] bool isLikelySlow(const WorkerId &worker) const;
+    [[nodiscard]] std::size_t likelySlowCount() const;
     [[nodiscard]] std::size_t slowCount() const;
     /// Returns the lowest speed of the slow workers, 1 if there are none.
     [[nodiscard]] double slowestSpeed() const;
@@ -60,6 +64,7 @@
         std::deque<Sample> samples; // Invariant: the newest, at most maxWorkerSamples
         double logSpeed = 0;
         bool isSlow = false;
+        bool isLikelySlow = false;
     };
 
     struct KindSample
@@ -78,6 +83,7 @@
         const Kind &kind, const WorkerId &worker, std::size_t job) const;
     void evaluate(const WorkerId &id, Worker &worker);
     void setSlow(const WorkerId &id, Worker &worker, bool isSlow);
+    void setLikelySlow(Worker &worker, bool isLikelySlow);
 
     // Invariant: at most maxKinds.
     std::map<StepKind, Kind> kinds_;
@@ -85,6 +91,7 @@
     /// Mean deviation of the runs of a worker from its median.
     double meanDeviation_ = 0.5; // until it is learned, more than that of usual loads
     std::size_t slowCount_ = 0; // Invariant: the number of slow workers in workers_.
+    std::size_t likelySlowCount_ = 0; // Invariant: as slowCount_, of those that are likely slow
     std::vector<WorkerSpeedChange> changes_;
 };
 
--- a/src/cell/graphorder.cpp
+++ b/src/cell/graphorder.cpp
@@ -80,6 +80,14 @@
     return std::nullopt;
 }
 
+bool canEndInTime(const Graph &graph, const TaskRef &step, double slowdown, WallTime now)
+{
+    const double remaining =
+        static_cast<double>(remainingTimeOf(graph.spec, step.step).count()) * slowdown;
+    const Milliseconds left = graph.dueAt(step.occurrence) + objectiveOf(graph.spec) - now;
+    return remaining <= static_cast<double>(left.count());
+}
+
 void sortByUrgency(std::vector<ReadyStep> &steps, WallTime now)
 {
     std::sort(steps.begin(), steps.end(), [now](const ReadyStep &left, const ReadyStep &right) {
--- a/src/cell/workerspeeds.cpp
+++ b/src/cell/workerspeeds.cpp
@@ -35,6 +35,9 @@
 /// another chance to pass for slow: with 5, and 12 jobs, normal workers did in 3 of 120 replays of
 /// up to 24,000 runs; with 6, and 16 jobs, in none.
 constexpr double minConfidence = 6;
+/// For isLikelySlow(). A worker ends the tasks of five jobs within a few seconds.
+constexpr std::size_t minLikelyJobs = 5;
+constexpr double minLikelyConfidence = 3.5;
 /// A slow worker that gets no tasks yields no samples. After this time its speed is unknown again.
 constexpr Milliseconds retention {120'000};
 /// Bounds the relative time of a run, so that a clock error cannot count without limit.
@@ -134,6 +137,12 @@
         logs.push_back(sample.log);
         jobs.insert(sample.job);
     }
+    const double error = medianErrorFactor * deviationFactor * meanDeviation_
+        / std::sqrt(static_cast<double>(std::max<std::size_t>(jobs.size(), 1)));
+    if (jobs.size() >= minLikelyJobs) {
+        const double log = -medianOf(logs);
+        setLikelySlow(worker, log < std::log(slowSpeed) && log < -minLikelyConfidence * error);
+    }
     if (jobs.size() < minWorkerJobs) {
         return;
     }
@@ -147,8 +156,6 @@
         return;
     }
     worker.logSpeed = -medianOf(std::move(logs));
-    const double error = medianErrorFactor * deviationFactor * meanDeviation_
-        / std::sqrt(static_cast<double>(jobs.size()));
     const bool isSlow =
         worker.logSpeed < std::log(slowSpeed) && worker.logSpeed < -minConfidence * error;
     setSlow(id, worker, isSlow);
@@ -163,12 +170,21 @@
     }
 }
 
+void WorkerSpeeds::setLikelySlow(Worker &worker, bool isLikelySlow)
+{
+    if (worker.isLikelySlow != isLikelySlow) {
+        worker.isLikelySlow = isLikelySlow;
+        likelySlowCount_ += isLikelySlow ? 1 : -1;
+    }
+}
+
 void WorkerSpeeds::forget(const WorkerId &worker)
 {
     const auto found = workers_.find(worker);
     if (found != workers_.end()) {
         found->second.logSpeed = 0;
         setSlow(worker, found->second, false);
+        setLikelySlow(found->second, false);
         workers_.erase(found);
     }
     for (std::pair<const StepKind, Kind> &kind : kinds_) {
@@ -193,6 +209,7 @@
         if (worker.samples.empty()) {
             worker.logSpeed = 0;
             setSlow(entry.first, worker, false);
+            setLikelySlow(worker, false);
         }
     }
     std::erase_if(workers_, [](const std::pair<const WorkerId, Worker> &entry) {
@@ -212,6 +229,17 @@
     return found != workers_.end() && found->second.isSlow;
 }
 
+bool WorkerSpeeds::isLikelySlow(const WorkerId &worker) const
+{
+    const auto found = workers_.find(worker);
+    return found != workers_.end() && (found->second.isSlow || found->second.isLikelySlow);
+}
+
+std::size_t WorkerSpeeds::likelySlowCount() const
+{
+    return likelySlowCount_ + slowCount_;
+}
+
 std::size_t WorkerSpeeds::slowCount() const
 {
     return slowCount_;
--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -19,6 +19,9 @@
 constexpr Milliseconds minRoundPause {4};
 /// Limit for the sum of steps tried and tasks placed in one round.
 constexpr std::size_t maxRoundWork = 512;
+/// A step that ends in time even if its workers take this many times its estimates can wait: it
+/// leaves the faster workers to others. Estimates are off by up to a half.
+constexpr double slowWorkerFactor = 3.0;
 /// If more workers than this gained room, the largest gain is not recomputed after each placement.
 constexpr std::size_t maxMeasuredWorkers = 64;
 
@@ -297,14 +300,22 @@
     return {chosen.size(), false};
 }
 
+bool Dispatcher::canWait(const StepDemand &demand, const Graph &graph, Prospect prospect) const
+{
+    return prospect != Prospect::InTime
+        || (supervisor_->observer().speeds().likelySlowCount() > 0
+            && canEndInTime(graph, demand.step, slowWorkerFactor, wallTimeNow()));
+}
+
 /// Avoids workers on which the newest run of a waiting task failed, unless no other worker fits.
 std::vector<FleetChoice> Dispatcher::choose(StepDemand demand, const Graph &graph,
     Prospect prospect, const std::optional<std::vector<WorkerId>> &among) const
 {
     const Fleet &fleet = supervisor_->fleet();
     demand.excludedWorkers = graph.failedWorkers(demand.step.occurrence, demand.step.step);
-    const std::unique_ptr<WorkerRanking> ranking = supervisor_->observer().rankingFor(
-        *demand.spec, graph.spec.queue, demand.step.step, prospect);
+    const std::unique_ptr<WorkerRanking> ranking =
+        supervisor_->observer().rankingFor(*demand.spec, graph.spec.queue, demand.step.step,
+            canWait(demand, graph, prospect) ? Prospect::Late : Prospect::InTime);
     demand.ranking = ranking.get();
     std::vector<FleetChoice> chosen =
         among ? fleet.chooseAmong(demand, *among) : fleet.choose(demand);
--- a/src/services/dispatcher.h
+++ b/src/services/dispatcher.h
@@ -118,7 +118,10 @@
     void requestTicketsAhead(MonotonicTime now);
     [[nodiscard]] bool tryRequestTicketsAhead(const TaskRef &step, MonotonicTime now);
     [[nodiscard]] std::vector<WorkerId> workersToAsk(
-        const StepDemand &demand, std::size_t maxWorkers) const;
+        const StepDemand &demand, bool canWait, std::size_t maxWorkers) const;
+    /// Returns whether the step leaves the faster workers to others.
+    [[nodiscard]] bool canWait(
+        const StepDemand &demand, const Graph &graph, Prospect prospect) const;
     void proposePlacements();
     void onPlacementsProposed(const std::vector<RunPlacement> &placements, bool isOutcomeKnown);
     void forgetClosedGraphs(MonotonicTime now);
--- a/src/services/dispatchtickets.cpp
+++ b/src/services/dispatchtickets.cpp
@@ -90,7 +90,10 @@
         return {placedCount, !allowed.empty()};
     }
     return {placedCount,
-        !canAsk || !ask(remaining, terms, workersToAsk(remaining, maxAskedWorkers), now)};
+        !canAsk
+            || !ask(remaining, terms,
+                workersToAsk(remaining, canWait(remaining, graph, prospect), maxAskedWorkers),
+                now)};
 }
 
 /// Returns the workers of `allowed`, and a few more that are allowed.
@@ -162,27 +165,48 @@
 }
 
 /// Returns workers that the step has not asked about yet, those with most room first: at most
-/// `maxWorkers`, and no more than should suffice for its tasks.
+/// `maxWorkers`, and no more than should suffice for its tasks. Steps that cannot wait ask for slow
+/// workers last.
 std::vector<WorkerId> Dispatcher::workersToAsk(
-    const StepDemand &demand, std::size_t maxWorkers) const
+    const StepDemand &demand, bool canWait, std::size_t maxWorkers) const
 {
     std::vector<WorkerId> workers;
+    std::vector<const FleetWorker *> slowWorkers;
     double room = 0;
     const double requiredRoom = static_cast<double>(demand.spec->tasks) / minAllowedShare;
     const WorkerPermissions &asked = tickets_.permissionsOf(demand.step);
+    const WorkerSpeeds &speeds = supervisor_->observer().speeds();
+    const bool prefersFast = !canWait && speeds.likelySlowCount() > 0;
+    const auto isEnough = [&]() {
+        return workers.size() >= maxWorkers
+            || (workers.size() >= minAskedWorkers && room >= requiredRoom);
+    };
+    const auto add = [&](const FleetWorker &worker) {
+        const std::uint32_t size = std::max(demand.spec->size.milliCores, 1U);
+        // Assumes that about half of a worker is in use.
+        room += static_cast<double>(worker.capacity.milliCores) / size / 2;
+        workers.push_back(worker.id);
+    };
     supervisor_->fleet().visitEligible(demand, [&](const FleetWorker &worker) {
-        if (workers.size() >= maxWorkers
-            || (workers.size() >= minAskedWorkers && room >= requiredRoom)) {
+        if (isEnough()) {
             return false;
         }
-        if (!asked.contains(worker.id)) {
-            const std::uint32_t size = std::max(demand.spec->size.milliCores, 1U);
-            // Assumes that about half of a worker is in use.
-            room += static_cast<double>(worker.capacity.milliCores) / size / 2;
-            workers.push_back(worker.id);
+        if (asked.contains(worker.id)) {
+            return true;
+        }
+        if (prefersFast && speeds.isLikelySlow(worker.id)) {
+            slowWorkers.push_back(&worker);
+        } else {
+            add(worker);
         }
         return true;
     });
+    for (const FleetWorker *worker : slowWorkers) {
+        if (isEnough()) {
+            break;
+        }
+        add(*worker);
+    }
     return workers;
 }
 
@@ -268,7 +292,8 @@
         return false;
     }
     const StepDemand demand = demandOf(*graph, step);
-    return ask(demand, terms, workersToAsk(demand, maxAskedWorkers), now);
+    return ask(demand, terms,
+        workersToAsk(demand, canWait(demand, *graph, Prospect::InTime), maxAskedWorkers), now);
 }
 
 void Dispatcher::forgetTickets(const GraphId &id)
--- a/src/services/runobserver.cpp
+++ b/src/services/runobserver.cpp
@@ -39,8 +39,8 @@
 
     std::uint32_t rankOf(const WorkerId &worker) const override
     {
-        const bool isOfOtherClass =
-            observer_.speeds_.slowCount() > 0 && observer_.speeds_.isSlow(worker) != prefersSlow_;
+        const bool isOfOtherClass = observer_.speeds_.likelySlowCount() > 0
+            && observer_.speeds_.isLikelySlow(worker) != prefersSlow_;
         return (interferesOn(worker) ? 2 : 0) + (isOfOtherClass ? 1 : 0);
     }
 
@@ -261,7 +261,7 @@
     if (interference_.pairCount() > 0) {
         interfering = interference_.kindsInterferingWith(kindOf(spec, queue, step));
     }
-    if (interfering.empty() && speeds_.slowCount() == 0) {
+    if (interfering.empty() && speeds_.likelySlowCount() == 0) {
         return nullptr;
     }
     // The slowest member decides about a gang, so a mix of workers is as slow as the slow ones.
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -87,7 +87,6 @@
     runs_[placement.task] = std::move(run);
     findOrAddWorker(placement.worker).runs.insert(placement.task);
     fleet_.take(placement.worker, placement.task, spec);
-    const Graph *graph = parts_.state.graphs().find(placement.task.graph);
     observer_.onReserved(placement, spec, graph == nullptr ? QueueName {} : graph->spec.queue);
 }
 
