Explain: where a job or an unsent request would be placed, and why

Operators could see that a job waits, but not what for: workers that are closed, too small or without room, tickets, headroom and the limit of its customer look the same from outside.

Change: the operators' call Explain asks the leader about a recorded job or about a request that is not sent. The leader answers from the decisions themselves: Catalog::find, the checks of a submission, urgencyOf and the place in StepQueue, limitToCustomer, limitToHeadroom, TicketCache and Fleet::choose. Fleet's checks of a worker are now one function that also names the obstacle, so the count of workers for each reason cannot differ from the choice. One pass over the workers serves all steps, at most 16.

limitToHeadroom() also leaves out tasks for which a service has no free cores.

--- a/include/crocusmill/fleet.h
+++ b/include/crocusmill/fleet.h
@@ -56,6 +56,13 @@
     bool hasOpenedWorker = false; // an open worker was added, opened or changed
 };
 
+/// What keeps a worker from taking a task of a step. Of several obstacles, the first counts.
+enum class WorkerObstacle { None, OtherService, NotOpen, Label, TooSmall, NoRoom, PerWorkerLimit };
+
+/// Returns how many tasks of this size fit into the capacity beside `used`.
+[[nodiscard]] std::uint32_t fittingTaskCount(
+    const TaskSize &capacity, const TaskSize &used, const TaskSize &size);
+
 /// Returns the capacity that one task of the step reserves. With `fills` it reserves no cores,
 /// since it uses those that other tasks leave idle.
 [[nodiscard]] TaskSize reservationSize(const StepSpec &spec);
@@ -98,6 +105,11 @@
     void visitEligible(
         const StepDemand &demand, const std::function<bool(const FleetWorker &)> &visit) const;
 
+    /// Calls `visit` for each worker and each demand, given by its index, with what keeps the
+    /// worker from taking a task of it now. Ignores the excluded workers of the demands.
+    void visitObstacles(const std::vector<StepDemand> &demands,
+        const std::function<void(std::size_t, const FleetWorker &, WorkerObstacle)> &visit) const;
+
     /// Returns the free capacity of a worker, zero while it is not open.
     [[nodiscard]] TaskSize freeCapacityOn(const WorkerId &worker) const;
     /// Returns the gains since the previous call.
@@ -155,6 +167,12 @@
         const StepDemand &demand, std::vector<Candidate> candidates);
     [[nodiscard]] static std::vector<FleetChoice> assignTasks(
         const StepDemand &demand, const std::vector<Candidate> &candidates);
+    /// Returns what keeps the worker from taking a task of the step if it is idle.
+    [[nodiscard]] static WorkerObstacle obstacleOf(
+        const FleetWorker &worker, const StepDemand &demand);
+    /// Returns how many tasks of the step its free capacity and the limit per worker allow.
+    [[nodiscard]] static std::uint32_t admissibleTaskCount(
+        const WorkerEntry &entry, const StepDemand &demand);
     [[nodiscard]] static bool isEligible(const FleetWorker &worker, const StepDemand &demand);
 
     std::unordered_map<WorkerId, WorkerEntry> workers_;
--- a/include/crocusmill/stepqueue.h
+++ b/include/crocusmill/stepqueue.h
@@ -68,6 +68,11 @@
     void carryOver(const Urgency &from, const RetryConditions &conditions);
 
     [[nodiscard]] std::size_t size() const;
+    /// Returns how many steps go before one with this urgency.
+    [[nodiscard]] std::size_t countBefore(const Urgency &urgency) const;
+    /// Returns what the urgency of a step of the job follows from.
+    [[nodiscard]] static ReadyStep readyStepOf(
+        const Graph &graph, const TaskRef &step, Milliseconds objective);
     /// Returns the queues that have steps waiting to request tickets and not expired.
     [[nodiscard]] TicketQueueMask queuesWaitingToAsk() const;
     /// Returns steps that need tickets and may request them early, since all unfinished
--- a/src/cell/fleet.cpp
+++ b/src/cell/fleet.cpp
@@ -3,7 +3,6 @@
 #include <crocusmill/fleet.h>
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace crocusmill
@@ -12,25 +11,6 @@
 namespace
 {
 
-template <typename T> std::uint64_t fittingCount(T capacity, T used, T size)
-{
-    if (size == 0) {
-        return std::numeric_limits<std::uint32_t>::max();
-    }
-    return used >= capacity ? 0 : (capacity - used) / size;
-}
-
-std::uint32_t fittingTaskCount(const TaskSize &capacity, const TaskSize &used, const TaskSize &size)
-{
-    const std::uint64_t tasks = std::min({fittingCount<std::uint64_t>(capacity.milliCores,
-                                              used.milliCores, size.milliCores),
-        fittingCount<std::uint64_t>(
-            capacity.memory.value(), used.memory.value(), size.memory.value()),
-        fittingCount<std::uint64_t>(capacity.accelerators, used.accelerators, size.accelerators)});
-    return static_cast<std::uint32_t>(
-        std::min<std::uint64_t>(tasks, std::numeric_limits<std::uint32_t>::max()));
-}
-
 TaskRef stepOf(TaskRef ref)
 {
     ref.task = 0;
@@ -220,11 +200,7 @@
 
 bool Fleet::isEligible(const FleetWorker &worker, const StepDemand &demand)
 {
-    const StepSpec &spec = *demand.spec;
-    const bool hasLabel = spec.label.value().empty()
-        || std::find(worker.labels.begin(), worker.labels.end(), spec.label) != worker.labels.end();
-    return worker.isOpen && hasLabel && worker.service == demand.service
-        && fittingTaskCount(worker.capacity, TaskSize {}, reservationSize(spec)) > 0;
+    return obstacleOf(worker, demand) == WorkerObstacle::None;
 }
 
 void Fleet::appendCandidate(
@@ -234,13 +210,7 @@
     if (!isEligible(entry.worker, demand) || demand.excludedWorkers.contains(entry.worker.id)) {
         return;
     }
-    std::uint32_t tasks =
-        fittingTaskCount(entry.worker.capacity, entry.used, reservationSize(spec));
-    if (spec.mostPerWorker > 0) {
-        const auto it = entry.taskCountPerStep.find(stepOf(demand.step));
-        const std::uint32_t present = it == entry.taskCountPerStep.end() ? 0 : it->second;
-        tasks = std::min(tasks, spec.mostPerWorker - std::min(present, spec.mostPerWorker));
-    }
+    const std::uint32_t tasks = admissibleTaskCount(entry, demand);
     if (tasks > 0) {
         const bool isPreferred =
             !spec.dataRack.value().empty() && entry.worker.rack == spec.dataRack;
--- a/src/cell/stepqueue.cpp
+++ b/src/cell/stepqueue.cpp
@@ -222,8 +222,7 @@
     }
     const Milliseconds objective = ready.empty() ? Milliseconds {0} : objectiveOf(graph.spec);
     for (const TaskRef &step : ready) {
-        const ReadyStep readyStep {step, graph.spec.priority, graph.dueAt(step.occurrence),
-            objective, remainingTimeOf(graph.spec, step.step), graph.spec.isBeyondShare};
+        const ReadyStep readyStep = readyStepOf(graph, step, objective);
         Entry entry;
         entry.urgency = urgencyOf(readyStep, now);
         entry.prospectChangesAt = nextChangeOf(readyStep, now);
--- a/src/services/dispatchcallhandler.h
+++ b/src/services/dispatchcallhandler.h
@@ -28,6 +28,9 @@
     void tick();
     /// Returns a JSON array with the customers and what they have running.
     [[nodiscard]] std::string listCustomers() const;
+    /// Answers a question about a placement, of which `question` is the JSON text. Changes nothing.
+    /// Errors: CodecError::Malformed.
+    void explain(const std::string &question, const ReplyHandler &done) const;
     /// Sets the workers that the current leader has recently heard from.
     void learnWorkers(const std::vector<WorkerHeartbeat> &workers);
 
--- a/src/services/dispatcher.h
+++ b/src/services/dispatcher.h
@@ -13,6 +13,7 @@
 #include "src/services/ticketclient.h"
 
 #include <crocusmill/headroom.h>
+#include <crocusmill/placementreport.h>
 #include <crocusmill/stepqueue.h>
 
 #include <memory>
@@ -61,6 +62,9 @@
     [[nodiscard]] bool hasSpareRoom(const ServiceName &service) const;
     /// Returns a JSON array with the use, limit and waiting steps of each customer.
     [[nodiscard]] std::string listCustomers();
+    /// Returns where the ready steps of the job would be placed now, and why not all are. Sends,
+    /// reserves and records nothing. The job need not be recorded.
+    [[nodiscard]] JobPlacement explain(const Graph &graph, MonotonicTime now, WallTime wall) const;
     /// Gives no more orders; called before another dispatcher replaces this one.
     void retire();
     [[nodiscard]] const RunSupervisor &supervisor() const;
@@ -92,6 +96,13 @@
     void blockAtLimit(const Urgency &urgency, const CustomerName &customer);
     void unblockBelowLimit();
     void reportCustomers();
+    [[nodiscard]] std::vector<WorkerCounts> countWorkers(
+        const std::vector<StepDemand> &demands, bool needsTickets, MonotonicTime now) const;
+    [[nodiscard]] StepReport explainStep(const StepDemand &waiting, const Graph &graph,
+        bool needsTickets, const Urgency &urgency, const WorkerCounts &workers,
+        MonotonicTime now) const;
+    [[nodiscard]] PlacementReason reasonOfWorkers(const StepDemand &demand, const Graph &graph,
+        const std::optional<std::vector<WorkerId>> &among, const WorkerCounts &workers) const;
     [[nodiscard]] std::vector<FleetChoice> choose(StepDemand demand, const Graph &graph,
         const std::optional<std::vector<WorkerId>> &among) const;
     StepResult placeWithTickets(const StepDemand &demand, const Graph &graph, const Queue &queue,
--- a/src/services/graphcallhandler.cpp
+++ b/src/services/graphcallhandler.cpp
@@ -88,7 +88,7 @@
     }
     updateCustomers();
     const Customer *customer = call.key ? customers_.findByKey(*call.key) : nullptr;
-    if (customer == nullptr && !customers_.isEmpty() && !queue->isPublic) {
+    if (lacksKey(*queue, customer, customers_)) {
         done(Reply {replyWith(GraphOutcome::UnknownKey)});
         return;
     }
@@ -106,6 +106,37 @@
     }
 }
 
+bool GraphCallHandler::lacksKey(
+    const Queue &queue, const Customer *customer, const CustomerDirectory &customers)
+{
+    return customer == nullptr && !customers.isEmpty() && !queue.isPublic;
+}
+
+bool GraphCallHandler::isValid(const GraphId &id)
+{
+    return !id.value().empty() && id.value().size() <= maxIdBytes;
+}
+
+bool GraphCallHandler::isFullFor(const GraphSpec &spec) const
+{
+    return journal_.state().graphs().openTaskCount() + taskCountOf(spec) > maxOpenTasks;
+}
+
+void GraphCallHandler::setTerms(GraphSpec &spec, const Request &request)
+{
+    const Queue &queue = request.queue;
+    spec.id = request.id;
+    spec.queue = queue.name;
+    spec.service = queue.service;
+    spec.priority = queue.priority;
+    spec.attempts = queue.attempts;
+    spec.slackFactor = queue.slackFactor;
+    spec.aim = queue.aim;
+    if (request.customer != nullptr) {
+        spec.customer = request.customer->name;
+    }
+}
+
 void GraphCallHandler::submit(
     const GraphCall &call, const Request &request, const ReplyHandler &done)
 {
@@ -116,13 +147,12 @@
         done(Reply {replyWith(GraphOutcome::Done)});
         return;
     }
-    if (id.value().empty() || id.value().size() > maxIdBytes) {
+    if (!isValid(id)) {
         done(Reply {replyWith(GraphOutcome::InvalidId)});
         return;
     }
-    const GraphRegistry &graphs = journal_.state().graphs();
-    if (call.spec && graphs.openTaskCount() + taskCountOf(*call.spec) > maxOpenTasks) {
-        logFull(queue, graphs.openTaskCount());
+    if (call.spec && isFullFor(*call.spec)) {
+        logFull(queue, journal_.state().graphs().openTaskCount());
         GraphReply refusal = replyWith(GraphOutcome::Refused);
         refusal.retryAfter = fullRetryAfter;
         done(Reply {refusal});
@@ -138,15 +168,8 @@
     }
     SubmitGraph command;
     command.spec = call.spec.value_or(GraphSpec {});
-    command.spec.id = id;
-    command.spec.queue = queue.name;
-    command.spec.service = queue.service;
-    command.spec.priority = queue.priority;
-    command.spec.attempts = queue.attempts;
-    command.spec.slackFactor = queue.slackFactor;
-    command.spec.aim = queue.aim;
+    setTerms(command.spec, request);
     if (request.customer != nullptr) {
-        command.spec.customer = request.customer->name;
         command.spec.isBeyondShare = !shares_.add(*request.customer, monotonicNow());
     }
     command.at = wallTimeNow();
--- a/src/services/graphcallhandler.h
+++ b/src/services/graphcallhandler.h
@@ -6,6 +6,7 @@
 #include "src/services/interfaces.h"
 
 #include <crocusmill/customershares.h>
+#include <crocusmill/placementreport.h>
 
 #include <functional>
 #include <random>
@@ -13,6 +14,14 @@
 namespace crocusmill
 {
 
+/// What a request that was not sent would be recorded as.
+struct JudgedRequest
+{
+    RequestRefusal refusal = RequestRefusal::None;
+    Milliseconds retryAfter {0}; // at least; only with BeyondShare
+    GraphSpec spec; // with the terms of its queue, if there is one
+};
+
 class GraphCallHandler
 {
 public:
@@ -27,6 +36,9 @@
     void handle(const GraphCall &call, const ReplyHandler &done);
     void handle(const CatalogCall &call, const ReplyHandler &done);
 
+    /// Returns what a submission of the request in question would lead to. Records nothing.
+    [[nodiscard]] JudgedRequest judge(const PlacementQuestion &question) const;
+
 private:
     /// A call on a queue, from a customer with a known key or on a queue that needs none.
     struct Request
@@ -37,6 +49,14 @@
     };
 
     void updateCustomers();
+    /// Returns whether a call with the key of `customer`, null for an unknown one, is refused.
+    [[nodiscard]] static bool lacksKey(
+        const Queue &queue, const Customer *customer, const CustomerDirectory &customers);
+    [[nodiscard]] static bool isValid(const GraphId &id);
+    /// Returns whether the job would exceed the limit of open tasks.
+    [[nodiscard]] bool isFullFor(const GraphSpec &spec) const;
+    /// Sets what a job takes from its queue and customer.
+    static void setTerms(GraphSpec &spec, const Request &request);
     void submit(const GraphCall &call, const Request &request, const ReplyHandler &done);
     /// Returns the time after which a job beyond its customer's share may be submitted again, if
     /// there is no room for it now.
--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -307,6 +307,10 @@
             done(Reply {OperatorReply {true, dispatch_->listCustomers()}});
             return;
         }
+        if (call.action == OperatorAction::Explain) {
+            dispatch_->explain(call.subject, done);
+            return;
+        }
         operators_->handle(call, done);
     }
 
--- a/src/wire/calljson.h
+++ b/src/wire/calljson.h
@@ -14,7 +14,7 @@
 BOOST_DESCRIBE_ENUM(UpstreamMode, Serving, Draining)
 BOOST_DESCRIBE_ENUM(OperatorAction, ListVms, ListMembers, ListUpstreams, ListWorkers, ListJobs,
     ListEnvironments, DrainVm, DrainUpstream, ResumeUpstream, DrainWorker, ResumeWorker,
-    ReplaceMember, ListCustomers)
+    ReplaceMember, ListCustomers, Explain)
 
 BOOST_DESCRIBE_STRUCT(ServiceKey, (), (environment, stage, service))
 BOOST_DESCRIBE_STRUCT(SlotLine, (), (upstream, slots))
--- a/src/wire/calls.h
+++ b/src/wire/calls.h
@@ -176,9 +176,11 @@
     ResumeWorker,
     ReplaceMember,
     ListCustomers,
+    Explain,
 };
 
-/// Operator's request to the leader. `subject` names the VM, upstream or worker.
+/// Operator's request to the leader. `subject` names the VM, upstream or worker, or is the JSON
+/// text of a PlacementQuestion.
 struct OperatorCall
 {
     static constexpr const char *kind = "operator";
--- /dev/null
+++ b/test/explain.cpp
@@ -0,0 +1,538 @@
+/// Tests of the explanation of placements: what it says is what then happens, and asking changes
+/// nothing.
+
+#include "test/fakes/callingleader.h"
+#include "test/fakes/graphs.h"
+
+#include <crocusmill/placementreport.h>
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+#include <random>
+
+namespace crocusmill
+{
+
+namespace
+{
+
+using fakes::CallingLeader;
+using fakes::quotesQueue;
+using fakes::stepOf;
+
+constexpr Milliseconds someRounds {100};
+
+/// A submission: its job and, if it carries a key, the customer.
+struct Request
+{
+    std::string path;
+    std::vector<StepSpec> steps;
+    std::string customer;
+};
+
+boost::json::object asJson(const StepSpec &step)
+{
+    boost::json::object json {{"tasks", step.tasks}, {"milli_cores", step.size.milliCores},
+        {"memory_bytes", step.size.memory.value()}, {"accelerators", step.size.accelerators},
+        {"expected_run_ms", step.estimate.count()}, {"gang", step.gang},
+        {"most_per_worker", step.mostPerWorker}};
+    if (!step.label.value().empty()) {
+        json["label"] = step.label.value();
+    }
+    boost::json::array after;
+    for (const std::uint32_t predecessor : step.after) {
+        after.emplace_back(predecessor);
+    }
+    json["after"] = after;
+    return json;
+}
+
+std::string questionAbout(const Request &request)
+{
+    boost::json::array steps;
+    for (const StepSpec &step : request.steps) {
+        steps.emplace_back(asJson(step));
+    }
+    boost::json::object question {{"host", "desk.example"}, {"path", request.path},
+        {"job", boost::json::object {{"steps", steps}}}};
+    if (!request.customer.empty()) {
+        question["customer"] = request.customer;
+    }
+    return boost::json::serialize(question);
+}
+
+std::string listCustomers(CallingLeader &leader)
+{
+    const Reply reply = leader.peers.ask(OperatorCall {OperatorAction::ListCustomers, {}});
+    return std::get<OperatorReply>(reply).body;
+}
+
+/// Asks, and checks that this has no effect.
+boost::json::object ask(CallingLeader &leader, const std::string &question)
+{
+    const std::string recorded = leader.journal.state().snapshot();
+    const std::string usage = listCustomers(leader);
+    const std::size_t starts = leader.link.starts.size();
+    const std::size_t stops = leader.link.stops.size();
+    const std::size_t holds = leader.link.holds.size();
+    const int tickets = leader.office.requestCount;
+    const Reply reply = leader.peers.ask(OperatorCall {OperatorAction::Explain, question});
+    CHECK(leader.journal.state().snapshot() == recorded);
+    CHECK(listCustomers(leader) == usage);
+    CHECK(leader.link.starts.size() == starts);
+    CHECK(leader.link.stops.size() == stops);
+    CHECK(leader.link.holds.size() == holds);
+    CHECK(leader.office.requestCount == tickets);
+    const OperatorReply &answer = std::get<OperatorReply>(reply);
+    REQUIRE(answer.found);
+    return boost::json::parse(answer.body).as_object();
+}
+
+GraphReply submit(CallingLeader &leader, const Request &request)
+{
+    GraphCall call;
+    call.action = GraphAction::Submit;
+    call.host = "desk.example";
+    call.path = request.path;
+    if (!request.customer.empty()) {
+        call.key = digestOf("key of " + request.customer);
+    }
+    call.spec = GraphSpec {};
+    call.spec->steps = request.steps;
+    return std::get<GraphReply>(leader.peers.ask(call));
+}
+
+const boost::json::object &stepOfReport(const boost::json::object &report, std::size_t step = 0)
+{
+    return report.at("steps").as_array().at(step).as_object();
+}
+
+std::string reasonIn(const boost::json::object &report)
+{
+    return std::string {stepOfReport(report).at("reason").as_string()};
+}
+
+std::uint64_t workersWith(const boost::json::object &report, const std::string &reason)
+{
+    const boost::json::value &workers = report.at("workers").as_array().at(0);
+    return workers.at(reason).to_number<std::uint64_t>();
+}
+
+std::uint64_t startableIn(const boost::json::object &report)
+{
+    return stepOfReport(report).at("startable").to_number<std::uint64_t>();
+}
+
+/// Asks about a request with one step, submits it and compares. Returns the report.
+boost::json::object checkPrediction(
+    CallingLeader &leader, const Request &request, const std::string &reason)
+{
+    INFO(request.path);
+    const boost::json::object report = ask(leader, questionAbout(request));
+    const std::size_t before = leader.link.starts.size();
+    REQUIRE(report.at("accepted").as_bool());
+    CHECK(submit(leader, request).outcome == GraphOutcome::Done);
+    leader.control.run_for(someRounds);
+    const std::size_t started = leader.link.starts.size() - before;
+    CHECK(startableIn(report) == started);
+    CHECK(reasonIn(report) == reason);
+    const std::string first {stepOfReport(report).at("first_worker").as_string()};
+    CHECK(first == (started > 0 ? leader.link.starts[before].worker.id.value() : std::string {}));
+    if (started < request.steps[0].tasks) {
+        const std::string id = request.path.substr(request.path.rfind('/') + 1);
+        const boost::json::object recorded = ask(leader, placementQuestionAbout(GraphId {id}));
+        CHECK(recorded.at("recorded").as_bool());
+        CHECK(startableIn(recorded) == 0);
+        CHECK(reasonIn(recorded) == reason);
+    }
+    return report;
+}
+
+void install(CallingLeader &leader, const std::vector<Queue> &queues,
+    const std::vector<Customer> &customers = {})
+{
+    Catalog catalog;
+    catalog.version = DocumentVersion {1};
+    catalog.queues = queues;
+    catalog.customers = customers;
+    static_cast<void>(leader.peers.ask(CatalogCall {catalog}));
+}
+
+Customer customer(const std::string &name, std::uint32_t weight, std::uint64_t limitMilliCores = 0)
+{
+    Customer result;
+    result.name = CustomerName {name};
+    result.keys = {digestOf("key of " + name)};
+    result.weight = weight;
+    result.limit.milliCores = limitMilliCores;
+    return result;
+}
+
+void addWorker(CallingLeader &leader, const std::string &id, std::uint32_t milliCores,
+    const std::string &service, const std::vector<WorkerLabel> &labels)
+{
+    HeartbeatCall call;
+    call.heartbeat.id = WorkerId {id};
+    call.heartbeat.incarnation = Incarnation {"1000"};
+    call.heartbeat.sequence = 1;
+    call.heartbeat.service = ServiceName {service};
+    call.heartbeat.labels = labels;
+    call.heartbeat.capacity.milliCores = milliCores;
+    static_cast<void>(leader.peers.ask(call));
+    leader.link.answerHold({});
+}
+
+void drainWorker(CallingLeader &leader, const std::string &id, std::uint32_t milliCores)
+{
+    HeartbeatCall call;
+    call.heartbeat.id = WorkerId {id};
+    call.heartbeat.incarnation = Incarnation {"1000"};
+    call.heartbeat.sequence = 2;
+    call.heartbeat.service = ServiceName {"matching"};
+    call.heartbeat.capacity.milliCores = milliCores;
+    call.heartbeat.draining = true;
+    static_cast<void>(leader.peers.ask(call));
+}
+
+/// Returns the faults of a text that must not be a question.
+Faults faultsOf(const std::string &text)
+{
+    const Checked<PlacementQuestion> checked = parsePlacementQuestion(text);
+    return std::holds_alternative<Faults>(checked) ? std::get<Faults>(checked) : Faults {};
+}
+
+} // namespace
+
+// Guards against an explanation that names another worker or another number of tasks than start.
+TEST_CASE("a request that fits is said to start on the worker that then gets it")
+{
+    CallingLeader leader;
+    install(leader, {quotesQueue()});
+    leader.addWorker("large", 8'000);
+    leader.addWorker("small", 2'000);
+    leader.control.run_for(someRounds);
+    const boost::json::object report =
+        checkPrediction(leader, {"/quotes/aa", {stepOf(2)}, {}}, "none");
+    CHECK(report.at("queue").as_string() == "quotes");
+    CHECK(report.at("service").as_string() == "matching");
+    CHECK(workersWith(report, "can_take") == 2);
+    checkPrediction(leader, {"/quotes/bb", {stepOf(20)}, {}}, "no_room");
+}
+
+// Guards against an explanation that says a request is accepted while it is refused, or the
+// reverse.
+TEST_CASE("a request is said to be refused exactly when its submission is")
+{
+    CallingLeader leader;
+    const Request known {"/quotes/aa", {stepOf(1)}, "litoral"};
+    const auto refusalOf = [&leader](const Request &request) {
+        const boost::json::object report = ask(leader, questionAbout(request));
+        const std::string refusal {report.at("refusal").as_string()};
+        CHECK(report.at("accepted").as_bool() == (refusal == "none"));
+        const GraphOutcome outcome = submit(leader, request).outcome;
+        CHECK((outcome == GraphOutcome::Done) == (refusal == "none"));
+        return std::make_pair(refusal, outcome);
+    };
+    using Refusal = std::pair<std::string, GraphOutcome>;
+    CHECK(refusalOf(known) == Refusal {"no_catalog", GraphOutcome::NoCatalog});
+    install(leader, {quotesQueue()}, {customer("litoral", 1)});
+    leader.control.run_for(someRounds);
+    CHECK(refusalOf({"/other/aa", {stepOf(1)}, "litoral"})
+        == Refusal {"no_queue", GraphOutcome::NoQueue});
+    CHECK(refusalOf({"/quotes/aa", {stepOf(1)}, {}})
+        == Refusal {"unknown_customer", GraphOutcome::UnknownKey});
+    CHECK(refusalOf({"/quotes/aa", {stepOf(1)}, "stranger"})
+        == Refusal {"unknown_customer", GraphOutcome::UnknownKey});
+    CHECK(refusalOf({"/quotes/", {stepOf(1)}, "litoral"})
+        == Refusal {"invalid_id", GraphOutcome::InvalidId});
+    CHECK(refusalOf(known) == Refusal {"none", GraphOutcome::Done});
+    CHECK(refusalOf(known) == Refusal {"none", GraphOutcome::Done}); // the same job again
+    // A worker that one job fills: the customer's next jobs are beyond its share.
+    addWorker(leader, "w", 1'000, "matching", {});
+    leader.control.run_for(someRounds);
+    Refusal last;
+    for (int job = 0; job < 5; ++job) {
+        last = refusalOf({"/quotes/b" + std::to_string(job), {stepOf(1)}, "litoral"});
+    }
+    CHECK(last == Refusal {"beyond_share", GraphOutcome::Refused});
+}
+
+// Guards against an explanation that overlooks the limit of open tasks.
+TEST_CASE("a request beyond the limit of open tasks is said to be refused")
+{
+    CallingLeader leader;
+    install(leader, {quotesQueue()});
+    const std::vector<StepSpec> steps(5, stepOf(10'000));
+    for (int job = 0; job < 6; ++job) {
+        REQUIRE(submit(leader, {"/quotes/a" + std::to_string(job), steps, {}}).outcome
+            == GraphOutcome::Done);
+    }
+    const Request request {"/quotes/b", {stepOf(1)}, {}};
+    const boost::json::object report = ask(leader, questionAbout(request));
+    CHECK(report.at("refusal").as_string() == "too_many_open_tasks");
+    CHECK(submit(leader, request).outcome == GraphOutcome::Refused);
+}
+
+// Guards against a reason that is not the one that holds the step back.
+TEST_CASE("workers that cannot take a step are counted by what rules them out")
+{
+    CallingLeader leader;
+    install(leader, {quotesQueue()});
+    SECTION("no worker")
+    {
+        checkPrediction(leader, {"/quotes/aa", {stepOf(1)}, {}}, "not_open");
+    }
+    SECTION("not open")
+    {
+        leader.addWorker("w", 8'000);
+        drainWorker(leader, "w", 8'000);
+        leader.control.run_for(someRounds);
+        const boost::json::object report =
+            checkPrediction(leader, {"/quotes/aa", {stepOf(1)}, {}}, "not_open");
+        CHECK(workersWith(report, "not_open") == 1);
+    }
+    SECTION("other service")
+    {
+        addWorker(leader, "w", 8'000, "clearing", {});
+        leader.control.run_for(someRounds);
+        const boost::json::object report =
+            checkPrediction(leader, {"/quotes/aa", {stepOf(1)}, {}}, "other_service");
+        CHECK(workersWith(report, "other_service") == 1);
+    }
+    SECTION("label")
+    {
+        addWorker(leader, "w", 8'000, "matching", {WorkerLabel {"disk"}});
+        leader.control.run_for(someRounds);
+        StepSpec step = stepOf(1);
+        step.label = WorkerLabel {"disk"};
+        checkPrediction(leader, {"/quotes/aa", {step}, {}}, "none");
+        step.label = WorkerLabel {"tape"};
+        const boost::json::object report =
+            checkPrediction(leader, {"/quotes/bb", {step}, {}}, "label");
+        CHECK(workersWith(report, "label") == 1);
+    }
+    SECTION("too small")
+    {
+        leader.addWorker("w", 8'000);
+        leader.control.run_for(someRounds);
+        const boost::json::object report =
+            checkPrediction(leader, {"/quotes/aa", {stepOf(1, 9)}, {}}, "too_small");
+        CHECK(workersWith(report, "too_small") == 1);
+    }
+    SECTION("no room")
+    {
+        leader.addWorker("w", 8'000);
+        leader.control.run_for(someRounds);
+        checkPrediction(leader, {"/quotes/aa", {stepOf(7)}, {}}, "none");
+        const boost::json::object report =
+            checkPrediction(leader, {"/quotes/bb", {stepOf(1, 2)}, {}}, "no_room");
+        CHECK(workersWith(report, "no_room") == 1);
+        StepSpec gang = stepOf(2);
+        gang.gang = true;
+        const boost::json::object ofGang =
+            checkPrediction(leader, {"/quotes/cc", {gang}, {}}, "no_room");
+        CHECK(workersWith(ofGang, "can_take") == 1);
+    }
+    SECTION("limit per worker")
+    {
+        leader.addWorker("w", 8'000);
+        leader.control.run_for(someRounds);
+        StepSpec step = stepOf(3);
+        step.mostPerWorker = 2;
+        checkPrediction(leader, {"/quotes/aa", {step}, {}}, "per_worker_limit");
+        const boost::json::object recorded = ask(leader, placementQuestionAbout(GraphId {"aa"}));
+        CHECK(workersWith(recorded, "per_worker_limit") == 1);
+        CHECK(stepOfReport(recorded).at("waiting").to_number<std::uint64_t>() == 1);
+    }
+}
+
+// Guards against an explanation that promises a start for which the ticket is missing.
+TEST_CASE("a step that needs tickets is said to wait for them until the answer has come")
+{
+    CallingLeader leader;
+    Queue queue = quotesQueue();
+    queue.tickets = TicketTiming {};
+    install(leader, {queue});
+    leader.addWorker("w", 8'000);
+    leader.control.run_for(someRounds);
+    leader.office.answeredAtOnce = 0;
+    const boost::json::object report =
+        checkPrediction(leader, {"/quotes/aa", {stepOf(1)}, {}}, "no_ticket");
+    CHECK(workersWith(report, "no_ticket") == 1);
+    REQUIRE(leader.office.heldAnswers.size() == 1);
+    leader.office.heldAnswers[0]();
+    const boost::json::object ready = ask(leader, placementQuestionAbout(GraphId {"aa"}));
+    CHECK(startableIn(ready) == 1);
+    CHECK(reasonIn(ready) == "none");
+    leader.control.run_for(someRounds);
+    CHECK(leader.link.starts.size() == 1);
+}
+
+// Guards against an explanation without the limit that holds the step back.
+TEST_CASE("a step at its customer's limit is said to be held back by it")
+{
+    CallingLeader leader;
+    install(leader, {quotesQueue()}, {customer("litoral", 100, 2'500), customer("arch", 100)});
+    leader.addWorker("w", 64'000);
+    leader.control.run_for(someRounds);
+    const boost::json::object report =
+        checkPrediction(leader, {"/quotes/aa", {stepOf(3)}, "litoral"}, "customer_limit");
+    CHECK(startableIn(report) == 2);
+    const boost::json::object &limit = report.at("customer_limit").as_array().at(0).as_object();
+    CHECK(limit.at("resource").as_string() == "milli_cores");
+    CHECK(limit.at("limit").to_number<std::uint64_t>() == 2'500);
+    CHECK(limit.at("used").to_number<std::uint64_t>() == 0);
+    checkPrediction(leader, {"/quotes/bb", {stepOf(1)}, "litoral"}, "customer_limit");
+    StepSpec gang = stepOf(2);
+    gang.gang = true;
+    checkPrediction(leader, {"/quotes/cc", {gang}, "litoral"}, "customer_limit");
+    checkPrediction(leader, {"/quotes/dd", {stepOf(3)}, "arch"}, "none");
+}
+
+// Guards against an explanation that counts cores which are kept for more urgent queues.
+TEST_CASE("a step for which too few cores are left beside the headroom is said to wait for it")
+{
+    CallingLeader leader;
+    Queue bulk = quotesQueue();
+    bulk.name = QueueName {"bulk"};
+    bulk.prefix = "/bulk/";
+    bulk.priority = 5;
+    install(leader, {quotesQueue(), bulk});
+    leader.addWorker("w", 10'000);
+    leader.control.run_for(someRounds);
+    checkPrediction(leader, {"/quotes/aa", {stepOf(6)}, {}}, "none");
+    // Half a second of placements as before keeps between two and three of the four free cores.
+    const boost::json::object report =
+        checkPrediction(leader, {"/bulk/bb", {stepOf(2)}, {}}, "headroom");
+    CHECK(workersWith(report, "can_take") == 1);
+}
+
+// Guards against a place in the order that differs from the order in which steps are tried.
+TEST_CASE("the position of a step counts the steps that go before it")
+{
+    CallingLeader leader;
+    Queue bulk = quotesQueue();
+    bulk.name = QueueName {"bulk"};
+    bulk.prefix = "/bulk/";
+    bulk.priority = 5;
+    Queue quotes = quotesQueue();
+    quotes.aim = bulk.aim = Milliseconds {60'000};
+    install(leader, {quotes, bulk});
+    for (const std::string path : {"/bulk/aa", "/bulk/bb", "/quotes/cc"}) {
+        REQUIRE(submit(leader, {path, {stepOf(1)}, {}}).outcome == GraphOutcome::Done);
+        leader.control.run_for(Milliseconds {40});
+    }
+    const auto positionOf = [&leader](const std::string &question) {
+        const boost::json::object report = ask(leader, question);
+        CHECK(stepOfReport(report).at("prospect").as_string() == "in_time");
+        return stepOfReport(report).at("position").to_number<std::uint64_t>();
+    };
+    CHECK(positionOf(placementQuestionAbout(GraphId {"cc"})) == 1);
+    CHECK(positionOf(placementQuestionAbout(GraphId {"aa"})) == 2);
+    CHECK(positionOf(placementQuestionAbout(GraphId {"bb"})) == 3);
+    CHECK(positionOf(questionAbout({"/quotes/dd", {stepOf(1)}, {}})) == 2);
+    CHECK(positionOf(questionAbout({"/bulk/ee", {stepOf(1)}, {}})) == 4);
+}
+
+// Guards against steps that are explained before they are ready, and against an unbounded answer.
+TEST_CASE("only ready steps are explained, and at most sixteen of them")
+{
+    CallingLeader leader;
+    install(leader, {quotesQueue()});
+    leader.control.run_for(someRounds);
+    std::vector<StepSpec> steps(20, stepOf(1));
+    steps[19].after = {0};
+    const boost::json::object report = ask(leader, questionAbout({"/quotes/aa", steps, {}}));
+    CHECK(report.at("steps").as_array().size() == 16);
+    CHECK(report.at("omitted_steps").to_number<std::uint64_t>() == 3);
+    CHECK(report.at("unready_steps").to_number<std::uint64_t>() == 1);
+    const Reply unknown = leader.peers.ask(
+        OperatorCall {OperatorAction::Explain, placementQuestionAbout(GraphId {"zz"})});
+    CHECK_FALSE(std::get<OperatorReply>(unknown).found);
+}
+
+// Guards against explanations that hold only for the cases above.
+TEST_CASE("explanations and submissions agree on random workers and jobs")
+{
+    std::minstd_rand random {20261206};
+    for (int round = 0; round < 4; ++round) {
+        CallingLeader leader;
+        install(
+            leader, {quotesQueue()}, {customer("litoral", 1'000, 9'000), customer("arch", 1'000)});
+        const int workers = 1 + static_cast<int>(random() % 6);
+        for (int i = 0; i < workers; ++i) {
+            const std::vector<WorkerLabel> labels(random() % 2, WorkerLabel {"disk"});
+            addWorker(leader, "w" + std::to_string(i),
+                static_cast<std::uint32_t>(1 + random() % 8) * 1'000, "matching", labels);
+        }
+        leader.control.run_for(someRounds);
+        for (int job = 0; job < 8; ++job) {
+            StepSpec step = stepOf(1 + random() % 4, 1 + random() % 3);
+            step.gang = random() % 3 == 0;
+            step.label = WorkerLabel {random() % 4 == 0 ? "disk" : ""};
+            step.mostPerWorker = random() % 3;
+            const Request request {
+                "/quotes/" + std::to_string(job), {step}, random() % 2 == 0 ? "litoral" : "arch"};
+            const boost::json::object report = ask(leader, questionAbout(request));
+            const std::size_t before = leader.link.starts.size();
+            REQUIRE(submit(leader, request).outcome == GraphOutcome::Done);
+            leader.control.run_for(Milliseconds {60});
+            INFO("round " << round << ", job " << job);
+            CHECK(startableIn(report) == leader.link.starts.size() - before);
+            CHECK((reasonIn(report) == "none") == (startableIn(report) == step.tasks));
+        }
+    }
+}
+
+// Guards against odd requests that are taken for valid ones.
+TEST_CASE("an odd question is refused with its faults")
+{
+    const std::string valid =
+        R"({"host":"h","path":"/p","customer":"c","job":{"steps":[{"tasks":2},{"after":[0]}]}})";
+    const Checked<PlacementQuestion> checked = parsePlacementQuestion(valid);
+    REQUIRE(std::holds_alternative<PlacementQuestion>(checked));
+    CHECK(
+        std::get<PlacementQuestion>(checked).spec.steps[1].after == std::vector<std::uint32_t> {0});
+    const auto withSteps = [](const std::string &steps) {
+        return R"({"host":"h","path":"/p","job":{"steps":)" + steps + "}}";
+    };
+    const std::vector<std::pair<std::string, FaultKind>> odd {
+        {"{", FaultKind::Malformed},
+        {"[]", FaultKind::WrongType},
+        {R"({"id":""})", FaultKind::OutOfRange},
+        {R"({"id":"a","host":"h"})", FaultKind::Unknown},
+        {R"({"host":"h","path":"/p"})", FaultKind::Missing},
+        {R"({"host":"h","path":"/p","job":{}})", FaultKind::Missing},
+        {R"({"host":"h","path":"/p","job":7})", FaultKind::WrongType},
+        {withSteps("[]"), FaultKind::OutOfRange},
+        {withSteps("[7]"), FaultKind::WrongType},
+        {withSteps(R"([{"tasks":0}])"), FaultKind::OutOfRange},
+        {withSteps(R"([{"tasks":1.5}])"), FaultKind::WrongType},
+        {withSteps(R"([{"milli_cores":-1}])"), FaultKind::WrongType},
+        {withSteps(R"([{"gang":1}])"), FaultKind::WrongType},
+        {withSteps(R"([{"colour":1}])"), FaultKind::Unknown},
+        {withSteps(R"([{"after":[0]}])"), FaultKind::OutOfRange},
+        {withSteps(R"([{},{"after":[0,0]}])"), FaultKind::Duplicate},
+        {withSteps(R"([{},{"after":["0"]}])"), FaultKind::WrongType},
+        {withSteps(R"([{"tasks":10001}])"), FaultKind::OutOfRange},
+    };
+    for (const std::pair<std::string, FaultKind> &question : odd) {
+        INFO(question.first);
+        const Faults faults = faultsOf(question.first);
+        REQUIRE_FALSE(faults.empty());
+        CHECK(faults[0].kind == question.second);
+    }
+    std::string manySteps = "[{}";
+    for (int i = 0; i < 256; ++i) {
+        manySteps += ",{}";
+    }
+    CHECK(faultsOf(withSteps(manySteps + "]")).size() == 1);
+    std::string manyTasks = R"([{"tasks":10000})";
+    for (int i = 0; i < 5; ++i) {
+        manyTasks += R"(,{"tasks":10000})";
+    }
+    CHECK(faultsOf(withSteps(manyTasks + "]")).size() == 1);
+}
+
+} // namespace crocusmill
--- a/test/wire.cpp
+++ b/test/wire.cpp
@@ -121,7 +121,7 @@
 TEST_CASE("every operator action survives encoding")
 {
     // A leader handles the operator's call locally, so only calls from other VMs are encoded.
-    constexpr int lastAction = static_cast<int>(OperatorAction::ListCustomers);
+    constexpr int lastAction = static_cast<int>(OperatorAction::Explain);
     for (int number = 0; number <= lastAction; ++number) {
         const OperatorAction action = static_cast<OperatorAction>(number);
         const Result<Call> decoded = decodeCall(encodeCall(Call {OperatorCall {action, "u1"}}));
