crocusmillctl: every request ends after ten seconds

The receive timeout of the socket had no effect: a blocking read of asio polls without a limit after the timeout. Connecting and writing had none.

Change: the requests run as asynchronous operations of a stream that expires ten seconds after the connection is begun.

By hand, against a server that accepts and never answers: before, 'status' was still waiting when it was killed after 20 s. Now 'status' ends with exit code 6 and 'explain job' with 5, after 10.0 s, also when the server sends one byte a second. There is no automatic test.

--- a/src/ctl/client.cpp
+++ b/src/ctl/client.cpp
@@ -1,9 +1,12 @@
-/// Blocking HTTP client with a receive timeout.
+/// HTTP client that blocks until the answer or the timeout.
 
 #include "src/ctl/client.h"
 
 #include "src/net/asio.h"
 
+#include <chrono>
+#include <functional>
+
 namespace crocusmill
 {
 
@@ -28,21 +31,20 @@
 namespace
 {
 
+/// Of one request, from the connection to the end of the answer.
 constexpr std::chrono::seconds requestTimeout {10};
 constexpr std::uint64_t maxAnswerBytes = 256ULL * 1024 * 1024;
 
-Answer exchange(beast::tcp_stream &stream, http::request<http::string_body> &request,
-    boost::system::error_code &error)
+/// Runs one operation of the stream. Returns its error, which is beast::error::timeout once the
+/// stream has expired. Blocking operations of the stream would ignore its expiry.
+boost::system::error_code runOperation(asio::io_context &context,
+    const std::function<void(std::function<void(const boost::system::error_code &)>)> &start)
 {
-    http::write(stream, request, error);
-    if (error) {
-        return {};
-    }
-    beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(maxAnswerBytes);
-    http::read(stream, buffer, parser, error);
-    return {parser.get().result_int(), parser.get().body()};
+    boost::system::error_code outcome;
+    start([&outcome](const boost::system::error_code &error) { outcome = error; });
+    context.restart();
+    context.run();
+    return outcome;
 }
 
 } // namespace
@@ -64,13 +66,12 @@
     if (error) {
         return ClientError::BadAddress;
     }
-    stream.socket().connect(endpoint, error);
+    using Done = std::function<void(const boost::system::error_code &)>;
+    stream.expires_after(requestTimeout);
+    error = runOperation(context, [&](const Done &done) { stream.async_connect(endpoint, done); });
     if (error) {
         return ClientError::Unreachable;
     }
-    const timeval receiveTimeout {requestTimeout.count(), 0};
-    ::setsockopt(stream.socket().native_handle(), SOL_SOCKET, SO_RCVTIMEO, &receiveTimeout,
-        sizeof receiveTimeout);
     http::request<http::string_body> request;
     constexpr unsigned int http11 = 11;
     request.version(http11);
@@ -82,11 +83,24 @@
     request.body() = body;
     request.keep_alive(false);
     request.prepare_payload();
-    Answer answer = exchange(stream, request, error);
+    error = runOperation(context, [&](const Done &done) {
+        http::async_write(stream, request,
+            [done](const boost::system::error_code &failure, std::size_t) { done(failure); });
+    });
+    if (error) {
+        return ClientError::NoAnswer;
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(maxAnswerBytes);
+    error = runOperation(context, [&](const Done &done) {
+        http::async_read(stream, buffer, parser,
+            [done](const boost::system::error_code &failure, std::size_t) { done(failure); });
+    });
     if (error) {
         return ClientError::NoAnswer;
     }
-    return answer;
+    return Answer {parser.get().result_int(), parser.get().body()};
 }
 
 Result<NodeAddress> parseServer(const std::string &text)
--- a/src/ctl/client.h
+++ b/src/ctl/client.h
@@ -46,7 +46,7 @@
 public:
     Client(NodeAddress server, std::string token, std::string operatorName);
 
-    /// Sends one request and waits for the answer. Errors: ClientError.
+    /// Sends one request and waits for the answer, at most 10 seconds in all. Errors: ClientError.
     [[nodiscard]] Result<Answer> request(
         const std::string &method, const std::string &target, const std::string &body) const;
 
