crocusmillctl explain, and its paths on the operators' port

Change: GET /v1/explain/jobs/ID and POST /v1/explain pass the question to the leader; an odd request is answered with 400 and all its faults before it is sent. crocusmillctl explain job and explain request print the answer as tables or JSON. A lost answer or a missing leader ends them with exit code 5, as a question has no outcome to be unsure of.

By hand, with one daemon and three workers that do not answer: no_catalog before the catalog, then three workers not_open; exit codes 3 for a step with no tasks and for an unknown job, 2 for a file that is not JSON, 5 without a daemon; 401 without the token, 404 for another method.

--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -4,8 +4,6 @@
 
 #include "src/ctl/table.h"
 
-#include <crocusmill/settings.h>
-
 #include <boost/json.hpp>
 
 #include <fstream>
@@ -242,6 +240,51 @@
     return usage(context);
 }
 
+/// A question changes nothing, so a lost answer is no unknown outcome.
+ExitCode ask(Context &context, const Request &request)
+{
+    const ExitCode code = send(context, request);
+    return code == ExitCode::Unknown ? ExitCode::Unreachable : code;
+}
+
+ExitCode explainRequest(Context &context)
+{
+    const Invocation &invocation = context.invocation;
+    if (invocation.host.empty() || invocation.path.empty() || invocation.file.empty()) {
+        return usage(context);
+    }
+    std::ifstream in {invocation.file};
+    if (!in) {
+        context.errors << "cannot read " << invocation.file << '\n';
+        return ExitCode::Usage;
+    }
+    std::ostringstream content;
+    content << in.rdbuf();
+    boost::system::error_code error;
+    const boost::json::value job = boost::json::parse(content.str(), error);
+    if (error) {
+        context.errors << invocation.file << " is not JSON\n";
+        return ExitCode::Usage;
+    }
+    boost::json::object question {
+        {"host", invocation.host}, {"path", invocation.path}, {"job", job}};
+    if (!invocation.customer.empty()) {
+        question["customer"] = invocation.customer;
+    }
+    return ask(context, {"POST", "/v1/explain", boost::json::serialize(question)});
+}
+
+ExitCode runExplain(Context &context, const std::vector<std::string> &words)
+{
+    if (words[1] == "job" && words.size() == 3) {
+        return ask(context, {"GET", "/v1/explain/jobs/" + words[2], {}});
+    }
+    if (words[1] == "request" && words.size() == 2) {
+        return explainRequest(context);
+    }
+    return usage(context);
+}
+
 struct SimpleCommand
 {
     std::string_view noun;
@@ -307,34 +350,10 @@
     if (words[0] == "environment") {
         return runEnvironment(context, words);
     }
-    return runSimple(context, words);
-}
-
-ExitCode checkSettings(
-    const std::string &file, Output output, std::ostream &out, std::ostream &errors)
-{
-    std::ifstream in {file};
-    if (!in) {
-        errors << "cannot read " << file << '\n';
-        return ExitCode::Usage;
-    }
-    std::ostringstream content;
-    content << in.rdbuf();
-    const Checked<Settings> checked = parseSettings(content.str());
-    const Faults *faults = std::get_if<Faults>(&checked);
-    boost::json::array list;
-    if (faults != nullptr) {
-        for (const Fault &fault : *faults) {
-            list.push_back(boost::json::object {{"pointer", fault.pointer},
-                {"fault", text(fault.kind)}, {"expected", fault.expected}});
-        }
-    }
-    if (output == Output::Json) {
-        out << boost::json::serialize(list) << '\n';
-    } else {
-        printAsText(boost::json::serialize(list), out);
+    if (words[0] == "explain") {
+        return runExplain(context, words);
     }
-    return faults == nullptr ? ExitCode::Done : ExitCode::Usage;
+    return runSimple(context, words);
 }
 
 std::string commandHelp()
@@ -351,6 +370,9 @@
   customer list
   worker list | drain ID | resume ID | quarantine ID | release ID
   job list | cancel ID
+  explain job ID                       where its waiting steps would go now, and why
+  explain request --host H --path P [--customer NAME] --file JOB.json
+                                       the same for a request, without sending it
   work show ID | cancel ID
   trace show ID
   settings check FILE
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -29,6 +29,11 @@
     std::uint64_t version = 0; // zero: not given
     std::string digest; // empty: that of the trial document with this version
     bool wait = false;
+    // Of `explain request`; empty: not given.
+    std::string host;
+    std::string path;
+    std::string customer;
+    std::string file;
     Output output = Output::Text;
 };
 
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -34,7 +34,12 @@
         "text or json")("version", options::value<std::uint64_t>(&arguments.invocation.version),
         "version to promote")("digest", options::value<std::string>(&arguments.invocation.digest),
         "digest to promote")("wait", options::bool_switch(&arguments.invocation.wait),
-        "wait until every VM has applied it")(
+        "wait until every VM has applied it")("host",
+        options::value<std::string>(&arguments.invocation.host), "host of the request")("path",
+        options::value<std::string>(&arguments.invocation.path), "path of the request")("customer",
+        options::value<std::string>(&arguments.invocation.customer),
+        "customer whose key the request would carry")("file",
+        options::value<std::string>(&arguments.invocation.file), "file with the job as JSON")(
         "help", options::bool_switch(&arguments.help), "show this text");
     return description;
 }
--- a/src/services/operators.cpp
+++ b/src/services/operators.cpp
@@ -8,6 +8,8 @@
 #include "src/services/workflow.h"
 #include "src/wire/commandjson.h"
 
+#include <crocusmill/placementreport.h>
+
 #include <openssl/crypto.h>
 
 namespace crocusmill
@@ -212,6 +214,9 @@
         if (resource == "customers") {
             co_return co_await requestAction(OperatorAction::ListCustomers);
         }
+        if (resource == "explain" && path.size() == 4 && path[2] == "jobs") {
+            co_return co_await explain(placementQuestionAbout(GraphId {path[3]}));
+        }
         if (resource == "environments") {
             co_return co_await requestAction(OperatorAction::ListEnvironments);
         }
@@ -225,6 +230,15 @@
         co_return problem(http::status::not_found, "no-such-path", "no such path");
     }
 
+    asio::awaitable<HttpResponse> explain(std::string question)
+    {
+        const Checked<PlacementQuestion> checked = parsePlacementQuestion(question);
+        if (const Faults *faults = std::get_if<Faults>(&checked)) {
+            co_return faultsResponse(*faults);
+        }
+        co_return co_await requestAction(OperatorAction::Explain, std::move(question));
+    }
+
     asio::awaitable<HttpResponse> showWork(WorkId id)
     {
         const Call leaderCall {WorkCall {id, std::nullopt}};
@@ -253,6 +267,9 @@
             const EnvironmentName environment {subject};
             co_return co_await promote(request, environment);
         }
+        if (resource == "explain" && path.size() == 2 && request.method() == http::verb::post) {
+            co_return co_await explain(request.body());
+        }
         if (resource == "vm" && subject == "drain") {
             onDrain_();
             co_return jsonResponse(http::status::ok, R"({"state":"draining"})");
