--- a/src/services/dispatchexplain.cpp
+++ b/src/services/dispatchexplain.cpp
@@ -127,7 +127,7 @@
     const bool awaitsTickets = needsTickets && report.keepsRoom
         && tickets_.hasPendingRequest(waiting.step) && !allowed.waiting.empty();
     if (!awaitsTickets) {
-        const std::vector<FleetChoice> chosen = choose(limited, graph, among);
+        const std::vector<FleetChoice> chosen = choose(limited, graph, urgency.prospect, among);
         report.startableTasks = chosen.size();
         report.firstWorker = chosen.empty() ? WorkerId {} : chosen.front().worker;
     }
@@ -138,7 +138,7 @@
     } else if (report.startableTasks == allowed.waiting.size()) {
         report.reason = PlacementReason::CustomerLimit;
     } else if (report.startableTasks == limited.waiting.size()
-        && choose(allowed, graph, std::nullopt).size() > report.startableTasks) {
+        && choose(allowed, graph, urgency.prospect, std::nullopt).size() > report.startableTasks) {
         // limitToHeadroom() also leaves out what the service has no free cores for.
         report.reason = PlacementReason::Headroom;
     } else {
@@ -160,7 +160,9 @@
         unlimited.mostPerWorker = 0;
         StepDemand spreading = demand;
         spreading.spec = &unlimited;
-        if (choose(spreading, graph, among).size() > choose(demand, graph, among).size()) {
+        // The prospect only changes the order of workers, not how many tasks find room.
+        if (choose(spreading, graph, Prospect::InTime, among).size()
+            > choose(demand, graph, Prospect::InTime, among).size()) {
             return PlacementReason::PerWorkerLimit;
         }
     }
