Run observer: only steps with an image are observed

An image states that the tasks of a step behave alike, so it asks for the comparison; other steps are placed as if all workers were alike.

--- a/src/services/runobserver.cpp
+++ b/src/services/runobserver.cpp
@@ -74,6 +74,9 @@
     const RunPlacement &placement, const StepSpec &spec, const QueueName &queue)
 {
     onReleased(placement.task, {}); // of an earlier run, if any
+    if (spec.image.value().empty()) {
+        return;
+    }
     ObservedRun run;
     run.worker = placement.worker;
     run.kind = kindOf(spec, queue, placement.task.step);
@@ -257,6 +260,9 @@
 std::unique_ptr<WorkerRanking> RunObserver::rankingFor(
     const StepSpec &spec, const QueueName &queue, std::uint32_t step, Prospect prospect) const
 {
+    if (spec.image.value().empty()) {
+        return nullptr;
+    }
     std::set<StepKind> interfering;
     if (interference_.pairCount() > 0) {
         interfering = interference_.kindsInterferingWith(kindOf(spec, queue, step));
--- a/src/services/runobserver.h
+++ b/src/services/runobserver.h
@@ -1,6 +1,9 @@
 /// Learns from the runs that the supervisor sees which workers are slow and which kinds of tasks
 /// slow each other down, and ranks workers by it.
 ///
+/// Only steps with an image are observed: with it a client states that their tasks behave alike,
+/// and observing all runs took a tenth of the leader's processor time at 900 starts per second.
+///
 /// A run is measured from the confirmation of its start to the list that shows that it succeeded.
 /// Not measured are runs whose time depends on something else: those adopted from an earlier
 /// leader, of services, of gangs (members wait for each other), of steps that fill idle cores or
