--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# The stand-ins of the scripts 7 to 10 are Python programs and need no build; checks that Python can
+# The stand-ins of the scripts 6 to 10 are Python programs and need no build; checks that Python can
 # read them.
 set -euo pipefail
 cd "$(dirname "$0")"
 python3 -B -c 'import ast, sys
 for path in sys.argv[1:]:
     with open(path) as file:
-        ast.parse(file.read(), path)' standins-2/loopback.py {7,8,9,10}/scenario.py
+        ast.parse(file.read(), path)' standins-2/loopback.py {6,7,8,9,10}/scenario.py
--- a/review/standins-2/loopback.py
+++ b/review/standins-2/loopback.py
@@ -122,7 +122,7 @@
             pass
         finally:
             self.writers.discard(writer)
-            writer.close()
+            writer.transport.abort()
 
     async def stop(self):
         self.server.close()
@@ -479,6 +479,12 @@
         found = [re.search(rf"{name}:\s+(\d+)", text) for name in ("VmRSS", "VmHWM")]
         return tuple(int(match.group(1)) // 1024 if match else 0 for match in found)
 
+    def file_size(self, vm, name):
+        try:
+            return os.path.getsize(os.path.join(self.folder, f"disk-{vm[1]}", name))
+        except OSError:
+            return 0
+
     def disk_mb(self, vm):
         folder = os.path.join(self.folder, f"disk-{vm[1]}")
         return sum(os.path.getsize(os.path.join(path, name))
@@ -642,10 +648,10 @@
     async def play():
         # Connections that end with the scenario are no errors.
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
-        return await asyncio.wait_for(scenario(site), 112)
+        return await asyncio.wait_for(scenario(site), 110)
 
     try:
-        broken = asyncio.run(play())
+        broken = asyncio.new_event_loop().run_until_complete(play())
         for text in broken:
             site.note("BROKEN", text=text)
             print("broken:", text)
@@ -655,5 +661,6 @@
         print("not run:", repr(error))
     finally:
         site.finish()
-    site.note("exit", code=code)
-    sys.exit(code)
+        site.note("exit", code=code)
+        sys.stdout.flush()
+        os._exit(code)  # without waiting for the tasks of the stand-ins
