Placing, checking and ending runs of a wide job takes linear work

Callers saw: a job with a gang of 10,000 tasks was accepted and never started.

Cause: work that grows with the square of a job's tasks, on the control thread of every replica. place() compared each member of a gang with all placements of the record, the supervisor walked over the gang for each of its runs, the dispatcher searched the run number for each member. The same on related paths: each recorded end walked over all tasks of its job, and each placement over those of the steps before.

Change: steps and jobs count their tasks by phase. The members of a gang are counted once for a record.

Why it works: these questions take no walk any more, so a record with all tasks of the widest job that is accepted is applied in some milliseconds, far below the election timeout of 400 ms.

--- a/include/crocusmill/graphregistry.h
+++ b/include/crocusmill/graphregistry.h
@@ -7,6 +7,7 @@
 #include <crocusmill/copyonwrite.h>
 #include <crocusmill/taskgraph.h>
 
+#include <array>
 #include <cstddef>
 #include <deque>
 #include <map>
@@ -29,10 +30,28 @@
     Checkpoint saved;
 };
 
+/// Number of tasks in each phase.
+class PhaseCounts
+{
+public:
+    void add(TaskPhase phase);
+    void remove(TaskPhase phase);
+    [[nodiscard]] std::uint32_t of(TaskPhase phase) const;
+    /// Returns true if no task has another phase than `phase`.
+    [[nodiscard]] bool isOnly(TaskPhase phase) const;
+
+private:
+    static constexpr std::size_t phaseCount = 4;
+    std::array<std::uint32_t, phaseCount> counts_ {};
+};
+
 struct GraphStep
 {
+    // Invariant: the tasks of a gang whose graph is open have the same run number.
     std::vector<GraphTask> tasks;
     std::vector<RunNumber> failed; // of a gang: runs in which a member failed, each once
+    // Not recorded. Invariant: the phases of `tasks`.
+    PhaseCounts phases;
 
     /// Returns whether all tasks have succeeded.
     [[nodiscard]] bool hasSucceeded() const;
@@ -53,7 +72,13 @@
     GraphState state = GraphState::Open;
     bool started = false; // a worker is known to have begun a task; never taken back
     std::vector<GraphOccurrence> occurrences;
+    // Not recorded. Invariant: the phases of the tasks of all occurrences.
+    PhaseCounts phases;
 
+    /// Changes the phase of a task, which must exist.
+    void setPhase(const TaskRef &ref, TaskPhase phase);
+    /// Counts the phases of the tasks anew.
+    void countPhases();
     [[nodiscard]] const GraphTask *find(const TaskRef &ref) const;
     /// Returns true if all steps that this one depends on have succeeded.
     [[nodiscard]] bool isReady(std::uint32_t occurrence, std::uint32_t step) const;
@@ -119,8 +144,8 @@
 private:
     [[nodiscard]] static GraphTask *findMutableTask(Graph &graph, const TaskRef &ref);
     [[nodiscard]] static bool isPlaceable(const Graph &graph, const RunPlacement &placement);
-    [[nodiscard]] bool isGangComplete(
-        const std::vector<RunPlacement> &placements, const RunPlacement &member) const;
+    [[nodiscard]] std::vector<const RunPlacement *> placeableRuns(
+        const std::vector<RunPlacement> &placements) const;
     static void endRun(Graph &graph, const EndedRun &ended);
     static void recordSuccess(Graph &graph, const EndedRun &ended);
     static void recordFailure(Graph &graph, const EndedRun &ended);
--- a/src/cell/stepqueue.cpp
+++ b/src/cell/stepqueue.cpp
@@ -23,8 +23,7 @@
 
 bool hasWaitingTask(const GraphStep &step)
 {
-    return std::any_of(step.tasks.begin(), step.tasks.end(),
-        [](const GraphTask &task) { return task.phase == TaskPhase::Waiting; });
+    return step.phases.of(TaskPhase::Waiting) > 0;
 }
 
 /// Returns whether no predecessor of the step has a waiting task.
--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -334,10 +334,13 @@
         headroom_.notePlaced(graph.spec.priority,
             std::uint64_t {reservationSize(*demand.spec).milliCores} * chosen.size(), now);
     }
+    // The members of a gang share their run number, which takes a search of all of them.
+    const RunNumber gangRun = demand.spec->gang ? graph.nextRun(demand.step) : RunNumber {};
     for (const FleetChoice &choice : chosen) {
         TaskRef task = demand.step;
         task.task = choice.task;
-        const RunPlacement placement {task, graph.nextRun(task), choice.worker, choice.incarnation};
+        const RunNumber run = demand.spec->gang ? gangRun : graph.nextRun(task);
+        const RunPlacement placement {task, run, choice.worker, choice.incarnation};
         const std::optional<Ticket> ticket =
             tickets_.ticket(demand.step, choice.worker, now + minTicketValidity);
         if (ticket) {
--- a/src/services/runsupervisor.cpp
+++ b/src/services/runsupervisor.cpp
@@ -279,18 +279,9 @@
     if (!current) {
         return false; // the run was given up, or an earlier run of the task has succeeded
     }
-    return !isGangBroken(*graph, task, run);
-}
-
-bool RunSupervisor::isGangBroken(const Graph &graph, const TaskRef &task, const Run &run) const
-{
-    if (!run.spec.gang) {
-        return false;
-    }
-    const GraphStep &step = graph.occurrences[task.occurrence].steps[task.step];
-    return std::any_of(step.tasks.begin(), step.tasks.end(), [&run](const GraphTask &member) {
-        return member.run == run.placement.run && member.phase == TaskPhase::Waiting;
-    });
+    // The other members have the same run number, so one that waits has lost this run.
+    const GraphStep &step = graph->occurrences[task.occurrence].steps[task.step];
+    return !run.spec.gang || step.phases.of(TaskPhase::Waiting) == 0;
 }
 
 void RunSupervisor::tickRun(const TaskRef &task, Run &run, MonotonicTime now)
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -248,7 +248,6 @@
     void tickWorker(const WorkerId &id, Worker &worker, MonotonicTime now);
     void tickRun(const TaskRef &task, Run &run, MonotonicTime now);
     [[nodiscard]] bool shouldRun(const TaskRef &task, const Run &run) const;
-    [[nodiscard]] bool isGangBroken(const Graph &graph, const TaskRef &task, const Run &run) const;
 
     [[nodiscard]] Milliseconds holdWaitOf(const Worker &worker) const;
     void hold(const WorkerId &id, Worker &worker, MonotonicTime now);
--- a/src/state/graph.cpp
+++ b/src/state/graph.cpp
@@ -3,6 +3,7 @@
 #include <crocusmill/graphregistry.h>
 
 #include <algorithm>
+#include <numeric>
 
 namespace crocusmill
 {
@@ -22,10 +23,54 @@
     return tasks * std::max(spec.recurrence.times, 1U);
 }
 
+void PhaseCounts::add(TaskPhase phase)
+{
+    ++counts_.at(static_cast<std::size_t>(phase));
+}
+
+void PhaseCounts::remove(TaskPhase phase)
+{
+    --counts_.at(static_cast<std::size_t>(phase));
+}
+
+std::uint32_t PhaseCounts::of(TaskPhase phase) const
+{
+    return counts_.at(static_cast<std::size_t>(phase));
+}
+
+bool PhaseCounts::isOnly(TaskPhase phase) const
+{
+    return std::accumulate(counts_.begin(), counts_.end(), 0U) == of(phase);
+}
+
 bool GraphStep::hasSucceeded() const
 {
-    return std::all_of(tasks.begin(), tasks.end(),
-        [](const GraphTask &task) { return task.phase == TaskPhase::Succeeded; });
+    return phases.isOnly(TaskPhase::Succeeded);
+}
+
+void Graph::setPhase(const TaskRef &ref, TaskPhase phase)
+{
+    GraphStep &step = occurrences[ref.occurrence].steps[ref.step];
+    GraphTask &task = step.tasks[ref.task];
+    for (PhaseCounts *counts : {&step.phases, &phases}) {
+        counts->remove(task.phase);
+        counts->add(phase);
+    }
+    task.phase = phase;
+}
+
+void Graph::countPhases()
+{
+    phases = {};
+    for (GraphOccurrence &occurrence : occurrences) {
+        for (GraphStep &step : occurrence.steps) {
+            step.phases = {};
+            for (const GraphTask &task : step.tasks) {
+                step.phases.add(task.phase);
+                phases.add(task.phase);
+            }
+        }
+    }
 }
 
 const GraphTask *Graph::find(const TaskRef &ref) const
--- a/src/state/graphregistry.cpp
+++ b/src/state/graphregistry.cpp
@@ -19,20 +19,6 @@
     return occurrence;
 }
 
-bool hasTask(const Graph &graph, TaskPhase phase)
-{
-    for (const GraphOccurrence &occurrence : graph.occurrences) {
-        for (const GraphStep &step : occurrence.steps) {
-            for (const GraphTask &task : step.tasks) {
-                if (task.phase == phase) {
-                    return true;
-                }
-            }
-        }
-    }
-    return false;
-}
-
 /// Returns whether the end proves that a worker had begun the run.
 bool provesStart(RunEnd end)
 {
@@ -51,6 +37,7 @@
     graph.acceptedAt = command.at;
     const std::uint32_t times = std::max(command.spec.recurrence.times, 1U);
     graph.occurrences.resize(times, makeOccurrence(command.spec));
+    graph.countPhases();
     graphs_.emplace(command.spec.id, CopyOnWrite<Graph> {std::move(graph)});
     openGraphs_.insert(command.spec.id);
     openTaskCount_ += taskCountOf(command.spec);
@@ -76,39 +63,43 @@
         && graph.isReady(placement.task.occurrence, placement.task.step);
 }
 
-/// Returns true if the placements hold every task of the member's gang, under one run number.
-bool GraphRegistry::isGangComplete(
-    const std::vector<RunPlacement> &placements, const RunPlacement &member) const
+/// Returns the placements that may be recorded: those of a gang only if they hold all of its tasks
+/// under one run number.
+std::vector<const RunPlacement *> GraphRegistry::placeableRuns(
+    const std::vector<RunPlacement> &placements) const
 {
-    const Graph &graph = *graphs_.at(member.task.graph);
-    std::set<std::uint32_t> members;
+    using GangRun = std::pair<TaskRef, RunNumber>; // first task of the step, and its run
+    const auto gangRunOf = [](const RunPlacement &placement) {
+        GangRun gangRun {placement.task, placement.run};
+        gangRun.first.task = 0;
+        return gangRun;
+    };
+    std::vector<const RunPlacement *> placeable;
+    std::map<GangRun, std::set<std::uint32_t>> members;
     for (const RunPlacement &placement : placements) {
-        const bool sameStep = placement.task.graph == member.task.graph
-            && placement.task.occurrence == member.task.occurrence
-            && placement.task.step == member.task.step;
-        if (sameStep && placement.run == member.run && isPlaceable(graph, placement)) {
-            members.insert(placement.task.task);
+        const Graph *graph = find(placement.task.graph);
+        if (graph == nullptr || !isPlaceable(*graph, placement)) {
+            continue;
+        }
+        placeable.push_back(&placement);
+        if (graph->spec.steps[placement.task.step].gang) {
+            members[gangRunOf(placement)].insert(placement.task.task);
         }
     }
-    return members.size() == graph.spec.steps[member.task.step].tasks;
+    std::erase_if(placeable, [&](const RunPlacement *placement) {
+        const StepSpec &step = find(placement->task.graph)->spec.steps[placement->task.step];
+        return step.gang && members.at(gangRunOf(*placement)).size() < step.tasks;
+    });
+    return placeable;
 }
 
 void GraphRegistry::place(const PlaceRuns &command)
 {
-    std::vector<const RunPlacement *> accepted;
-    for (const RunPlacement &placement : command.placements) {
-        const Graph *graph = find(placement.task.graph);
-        const bool canBePlaced = graph != nullptr && isPlaceable(*graph, placement)
-            && (!graph->spec.steps[placement.task.step].gang
-                || isGangComplete(command.placements, placement));
-        if (canBePlaced) {
-            accepted.push_back(&placement);
-        }
-    }
+    const std::vector<const RunPlacement *> accepted = placeableRuns(command.placements);
     for (const RunPlacement *placement : accepted) {
         Graph &graph = graphs_.at(placement->task.graph).edit();
         GraphTask &task = *findMutableTask(graph, placement->task);
-        task.phase = TaskPhase::Placed;
+        graph.setPhase(placement->task, TaskPhase::Placed);
         task.run = placement->run;
         task.worker = placement->worker;
         task.incarnation = placement->incarnation;
@@ -189,7 +180,8 @@
     if (!ended.saved.value().empty()) {
         task->saved = ended.saved;
     }
-    task->phase = graph.state == GraphState::Open ? TaskPhase::Waiting : TaskPhase::GivenUp;
+    graph.setPhase(
+        ended.task, graph.state == GraphState::Open ? TaskPhase::Waiting : TaskPhase::GivenUp);
 }
 
 /// Records a success, also of an older run that was recorded as lost: the newer run is then not
@@ -197,12 +189,15 @@
 void GraphRegistry::recordSuccess(Graph &graph, const EndedRun &ended)
 {
     const bool gang = graph.spec.steps[ended.task.step].gang;
-    GraphStep &step = graph.occurrences[ended.task.occurrence].steps[ended.task.step];
-    for (std::uint32_t number = 0; number < step.tasks.size(); ++number) {
-        GraphTask &task = step.tasks[number];
+    const std::uint32_t taskCount = graph.spec.steps[ended.task.step].tasks;
+    TaskRef ref = ended.task;
+    ref.task = gang ? 0 : ended.task.task;
+    const std::uint32_t last = gang ? taskCount - 1 : ended.task.task;
+    for (; ref.task <= last; ++ref.task) {
+        GraphTask &task = *findMutableTask(graph, ref);
         const bool open = task.phase == TaskPhase::Placed || task.phase == TaskPhase::Waiting;
-        if (open && ended.run <= task.run && (gang || number == ended.task.task)) {
-            task.phase = TaskPhase::Succeeded;
+        if (open && ended.run <= task.run) {
+            graph.setPhase(ref, TaskPhase::Succeeded);
             task.run = ended.run;
         }
     }
@@ -218,14 +213,9 @@
         close(graph, GraphState::Failed, at);
         return;
     }
-    for (const GraphOccurrence &occurrence : graph.occurrences) {
-        const bool hasSucceeded = std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
-            [](const GraphStep &step) { return step.hasSucceeded(); });
-        if (!hasSucceeded) {
-            return;
-        }
+    if (graph.phases.isOnly(TaskPhase::Succeeded)) {
+        close(graph, GraphState::Succeeded, at);
     }
-    close(graph, GraphState::Succeeded, at);
 }
 
 void GraphRegistry::close(Graph &graph, GraphState state, WallTime at)
@@ -244,6 +234,7 @@
             }
         }
     }
+    graph.countPhases();
 }
 
 void GraphRegistry::recordChange(const GraphId &id)
@@ -260,7 +251,7 @@
 void GraphRegistry::updateIndices(const Graph &graph)
 {
     recordChange(graph.spec.id);
-    if (graph.state == GraphState::Open && hasTask(graph, TaskPhase::Waiting)) {
+    if (graph.state == GraphState::Open && graph.phases.of(TaskPhase::Waiting) > 0) {
         waitingGraphs_.insert(graph.spec.id);
     } else {
         waitingGraphs_.erase(graph.spec.id);
@@ -321,7 +312,7 @@
 
 bool GraphRegistry::canRemoveOldestEnded() const
 {
-    return !endedGraphs_.empty() && !hasTask(*find(endedGraphs_.front()), TaskPhase::Placed);
+    return !endedGraphs_.empty() && find(endedGraphs_.front())->phases.of(TaskPhase::Placed) == 0;
 }
 
 void GraphRegistry::removeOldestEnded()
@@ -442,6 +433,7 @@
     graphByRevision_.clear();
     revisionByGraph_.clear();
     for (Graph &graph : graphs) {
+        graph.countPhases();
         const GraphId id = graph.spec.id;
         ++graphCounts_[graph.spec.queue];
         if (graph.state == GraphState::Open) {
