An accepted job stays known at its path, whichever routes match it

Callers saw: the route of two accepted jobs was removed while one with a shorter prefix of its path stayed. GET for the first was answered 410 although it ran, and DELETE for the second was answered 410 and had no effect.

Cause: the queue of a call was looked up among the routes in force only, and the job's id was what follows its prefix. Removed queues, which are kept while they have jobs, were not asked.

Change: a call is first matched with the recorded jobs, over all queues whose prefix the path begins with, removed ones too. If none has the job, the routes in force decide as before; so new jobs and counts of a removed route get 404.

Why it works: host and path identify the job from its acceptance until it is forgotten. The same lookup serves DELETE, a repeated POST, which was accepted as a second job before, and jobs whose path a later route with a longer prefix matches.

--- a/include/crocusmill/catalog.h
+++ b/include/crocusmill/catalog.h
@@ -57,8 +57,8 @@
     std::vector<Queue> queues;
     /// Document as sent by the operator, returned to operators that read it.
     std::string source;
-    /// Queues that are not in the document any more, as they were last. They accept no requests,
-    /// and their jobs run on their terms.
+    /// Queues that are not in the document any more, as they were last. They accept no jobs. Theirs
+    /// run on their terms and stay reachable at their address.
     // Invariant: none has the name of another removed queue or of one in `queues`.
     std::vector<Queue> removedQueues;
     /// Empty: calls need no keys. Includes removed customers that have open jobs.
@@ -67,6 +67,10 @@
     /// Returns the queue of `host` with the longest prefix of `path`, or null.
     [[nodiscard]] const Queue *find(std::string_view host, std::string_view path) const;
     [[nodiscard]] const Queue *find(const QueueName &name) const;
+    /// Returns the queues of `host`, removed ones too, whose prefix `path` begins with, the longest
+    /// prefix first.
+    [[nodiscard]] std::vector<const Queue *> findAll(
+        std::string_view host, std::string_view path) const;
     /// Returns the queue of the jobs that are recorded with `name`: the one that now has the
     /// address of the queue they were accepted at. While there is none, returns the removed queue.
     /// Returns null for an unknown name.
--- a/src/services/graphcallhandler.cpp
+++ b/src/services/graphcallhandler.cpp
@@ -79,7 +79,7 @@
         done(Reply {replyWith(GraphOutcome::NoCatalog)});
         return;
     }
-    const Queue *queue = catalog.find(call.host, call.path);
+    const Queue *queue = findQueue(call.host, call.path);
     if (queue == nullptr) {
         logInfo("queue.unknown",
             {{"host", call.host}, {"path", call.path}, {"catalog", catalog.version.value()}});
@@ -106,6 +106,19 @@
     }
 }
 
+const Queue *GraphCallHandler::findQueue(const std::string &host, const std::string &path) const
+{
+    const StateMachine &state = journal_.state();
+    const Catalog &catalog = state.catalog();
+    for (const Queue *queue : catalog.findAll(host, path)) {
+        const Graph *graph = state.graphs().find(GraphId {path.substr(queue->prefix.size())});
+        if (graph != nullptr && catalog.queueOfJobs(graph->spec.queue) == queue) {
+            return queue;
+        }
+    }
+    return catalog.find(host, path);
+}
+
 bool GraphCallHandler::lacksKey(
     const Queue &queue, const Customer *customer, const CustomerDirectory &customers)
 {
--- a/src/services/graphcallhandler.h
+++ b/src/services/graphcallhandler.h
@@ -49,6 +49,10 @@
     };
 
     void updateCustomers();
+    /// Returns the queue of the recorded job at this host and path. Its route may have been
+    /// removed, or a later one with a longer prefix may match the path too. If no such job is
+    /// recorded, returns the queue in force with the longest prefix, or null.
+    [[nodiscard]] const Queue *findQueue(const std::string &host, const std::string &path) const;
     /// Returns whether a call with the key of `customer`, null for an unknown one, is refused.
     [[nodiscard]] static bool lacksKey(
         const Queue &queue, const Customer *customer, const CustomerDirectory &customers);
--- a/src/services/placementquestions.cpp
+++ b/src/services/placementquestions.cpp
@@ -17,7 +17,7 @@
         judged.refusal = RequestRefusal::NoCatalog;
         return judged;
     }
-    const Queue *queue = catalog.find(question.host, question.path);
+    const Queue *queue = findQueue(question.host, question.path);
     if (queue == nullptr) {
         judged.refusal = RequestRefusal::NoQueue;
         return judged;
--- a/src/state/catalog.cpp
+++ b/src/state/catalog.cpp
@@ -108,6 +108,22 @@
     return best;
 }
 
+std::vector<const Queue *> Catalog::findAll(std::string_view host, std::string_view path) const
+{
+    std::vector<const Queue *> found;
+    for (const std::vector<Queue> *candidates : {&queues, &removedQueues}) {
+        for (const Queue &queue : *candidates) {
+            if (queue.host == host && path.starts_with(queue.prefix)) {
+                found.push_back(&queue);
+            }
+        }
+    }
+    std::stable_sort(found.begin(), found.end(), [](const Queue *left, const Queue *right) {
+        return left->prefix.size() > right->prefix.size();
+    });
+    return found;
+}
+
 const Queue *Catalog::find(const QueueName &name) const
 {
     return findByName(queues, name);
