A job whose cancel came before its submission never runs

Callers saw: clients sent jobs to an entry that stood still, gave up after 3 s and cancelled them at another entry, which answered 410. Then the entry woke and handed the jobs in, and all their steps ran, up to 8.5 s after the answer.

Cause: the cancel of an unknown job was answered and not recorded, and nothing says how old a submission is when it reaches the leader.

Change: such a cancel is recorded with the command that exists, as a cancelled job without tasks, and answered 410 as before. A submission under its id is refused with 410. It is part of the state and kept as long as ended jobs. At most /state/early_cancels (20,000) are kept; beyond it the cancel is refused with 503 and Retry-After. Metric: jobs_cancelled_early.

That also covers a cancel that reached the leader while the submission was being recorded, which had no effect before.

--- a/include/crocusmill/graphregistry.h
+++ b/include/crocusmill/graphregistry.h
@@ -79,6 +79,8 @@
     void setPhase(const TaskRef &ref, TaskPhase phase);
     /// Counts the phases of the tasks anew.
     void countPhases();
+    /// Returns false if only a cancel is recorded, which came before the submission.
+    [[nodiscard]] bool isSubmitted() const;
     [[nodiscard]] const GraphTask *find(const TaskRef &ref) const;
     /// Returns true if all steps that this one depends on have succeeded.
     [[nodiscard]] bool isReady(std::uint32_t occurrence, std::uint32_t step) const;
@@ -101,13 +103,14 @@
 class GraphRegistry
 {
 public:
-    /// Returns false if the id exists already.
+    /// Returns false if the id exists already, or its cancel came first.
     bool submit(const SubmitGraph &command);
     void place(const PlaceRuns &command);
     /// Not a change in the sense of changedSince(), as placement does not depend on it.
     void noteStarts(const NoteStarts &command);
     void end(const EndRuns &command);
-    /// Returns false if there is no such graph.
+    /// Returns false if there is no such graph. The cancel is recorded then, so that a submission
+    /// that arrives later has no effect.
     bool cancel(const CancelGraph &command);
     /// Removes graphs that ended before `before` and have no placed task, in the order of ending,
     /// up to the first that must stay.
@@ -130,6 +133,8 @@
     [[nodiscard]] bool hasGraphsOf(const QueueName &queue) const;
     /// Returns the customers that have open graphs.
     [[nodiscard]] std::set<CustomerName> openCustomers() const;
+    /// Returns the number of cancels that are recorded without a submission.
+    [[nodiscard]] std::size_t earlyCancelCount() const;
     /// Returns the number of tasks of the open graphs.
     [[nodiscard]] std::uint64_t openTaskCount() const;
     /// Returns the revision of the newest change.
@@ -153,6 +158,7 @@
     void removeUnstarted(const Graph &graph);
     void closeIfDecided(Graph &graph, WallTime at);
     void close(Graph &graph, GraphState state, WallTime at);
+    void recordEarlyCancel(const CancelGraph &command);
     void updateIndices(const Graph &graph);
     void recordChange(const GraphId &id);
     [[nodiscard]] bool canRemoveOldestEnded() const;
@@ -170,6 +176,7 @@
     // Invariant: contains every other graph once, in the order of ending.
     std::deque<GraphId> endedGraphs_;
     std::uint64_t openTaskCount_ = 0; // Invariant: the tasks of the graphs in openGraphs_
+    std::size_t earlyCancelCount_ = 0; // Invariant: the graphs that are not submitted
     GraphRevision revision_;
     // Invariant: contains each graph once, by its newest change; revisionByGraph_ is the inverse.
     std::map<GraphRevision, GraphId> graphByRevision_;
--- a/include/crocusmill/placementreport.h
+++ b/include/crocusmill/placementreport.h
@@ -41,6 +41,7 @@
     NoQueue,
     UnknownCustomer,
     InvalidId,
+    CancelledEarly, // its cancel came before its submission
     TooManyOpenTasks,
     BeyondShare, // of its customer, while the workers are full
 };
--- a/include/crocusmill/settings.h
+++ b/include/crocusmill/settings.h
@@ -38,6 +38,9 @@
     std::uint64_t snapshotEntries = 20'000;
     /// How long ended work is kept for later queries.
     Milliseconds endedWorkRetention {600'000};
+    /// Cancels of jobs that were not submitted yet, which are kept as long as ended work. Further
+    /// ones are refused.
+    std::uint64_t maxEarlyCancels = 20'000;
     /// A member is replaced after its VM was silent this long, if a spare VM exists.
     Milliseconds replacementTimeout {60'000};
     /// Target number of voting replicas, reached if enough VMs have a data folder; zero: as many
--- a/src/services/dispatchcallhandler.cpp
+++ b/src/services/dispatchcallhandler.cpp
@@ -46,6 +46,11 @@
     });
 }
 
+void DispatchCallHandler::limitEarlyCancels(std::uint64_t maxEarlyCancels)
+{
+    graphs_.limitEarlyCancels(maxEarlyCancels);
+}
+
 void DispatchCallHandler::startLeading(Term term, const RunSupervisor::Propose &propose)
 {
     if (link_ == nullptr || office_ == nullptr) {
--- a/src/services/dispatchcallhandler.h
+++ b/src/services/dispatchcallhandler.h
@@ -21,6 +21,8 @@
     DispatchCallHandler(asio::io_context &control, Journal &journal, Peers &peers, WorkerLink *link,
         TicketOffice *office, NodeAddress self, Metrics &metrics);
 
+    /// Sets the number of cancels that may be recorded for jobs that were not submitted yet.
+    void limitEarlyCancels(std::uint64_t maxEarlyCancels);
     /// Starts a dispatcher for a new term. `propose` drops its reply once this VM no longer leads
     /// in that term.
     void startLeading(Term term, const RunSupervisor::Propose &propose);
--- a/src/services/graphcallhandler.cpp
+++ b/src/services/graphcallhandler.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t maxIdBytes = 64;
 /// Each open task takes some 200 bytes in every replica.
 constexpr std::uint64_t maxOpenTasks = 300'000;
-/// A job that is refused for maxOpenTasks may fit once others have ended.
+/// A call that is refused for a limit may succeed once other jobs have ended or been forgotten.
 constexpr Milliseconds fullRetryAfter {2'000};
 constexpr Milliseconds fullRecordInterval {1'000}; // between log records about one queue
 
@@ -48,9 +48,15 @@
     , onChange_(std::move(onChange))
     , fullRecords_(fullRecordInterval)
     , shareRecords_(fullRecordInterval)
+    , cancelRecords_(fullRecordInterval)
 {
 }
 
+void GraphCallHandler::limitEarlyCancels(std::uint64_t maxEarlyCancels)
+{
+    maxEarlyCancels_ = maxEarlyCancels;
+}
+
 void GraphCallHandler::onPendingJobsTold(
     std::function<void(const QueueName &, std::uint64_t)> observer)
 {
@@ -155,6 +161,11 @@
 {
     const GraphId &id = request.id;
     const Queue &queue = request.queue;
+    if (isCancelledEarly(id)) {
+        logInfo("job.submitted_after_cancel", {{"job", id.value()}});
+        done(Reply {replyWith(GraphOutcome::NoJob)});
+        return;
+    }
     if (journal_.state().graphs().find(id) != nullptr) {
         logInfo("job.submitted_again", {{"job", id.value()}});
         done(Reply {replyWith(GraphOutcome::Done)});
@@ -193,6 +204,11 @@
                 done(reply.error());
                 return;
             }
+            if (isCancelledEarly(id)) { // the cancel was recorded meanwhile
+                logInfo("job.submitted_after_cancel", {{"job", id.value()}});
+                done(Reply {replyWith(GraphOutcome::NoJob)});
+                return;
+            }
             logInfo("job.accepted",
                 {{"job", id.value()}, {"queue", name.value()}, {"again", reply.value().repeated},
                     {"customer", customer.value()}, {"beyond_share", isBeyondShare}});
@@ -274,11 +290,27 @@
     done(Reply {reply});
 }
 
+bool GraphCallHandler::isCancelledEarly(const GraphId &id) const
+{
+    const Graph *graph = journal_.state().graphs().find(id);
+    return graph != nullptr && !graph->isSubmitted();
+}
+
+/// The cancel of an unknown job is recorded as well: its submission may still be on the way, held
+/// up by an entry or a connection, and its client no longer wants the job.
 void GraphCallHandler::cancel(const Request &request, const ReplyHandler &done)
 {
     if (find(request) == nullptr) {
-        done(Reply {replyWith(GraphOutcome::NoJob)});
-        return;
+        const GraphRegistry &graphs = journal_.state().graphs();
+        const bool isOfOther = graphs.find(request.id) != nullptr;
+        if (isOfOther || !isValid(request.id)) {
+            done(Reply {replyWith(GraphOutcome::NoJob)});
+            return;
+        }
+        if (graphs.earlyCancelCount() >= maxEarlyCancels_) {
+            refuseEarlyCancel(request, done);
+            return;
+        }
     }
     journal_.propose(CancelGraph {request.id, wallTimeNow()},
         [this, id = request.id, done](const Result<ApplyReply> &reply) {
@@ -286,15 +318,39 @@
                 done(reply.error());
                 return;
             }
-            const Graph *graph = journal_.state().graphs().find(id);
-            logInfo("job.cancelled",
-                {{"job", id.value()},
-                    {"state", graph == nullptr ? "unknown" : text(graph->state)}});
-            onChange_();
-            done(Reply {replyWith(GraphOutcome::Done)});
+            onCancelled(id, done);
         });
 }
 
+void GraphCallHandler::onCancelled(const GraphId &id, const ReplyHandler &done)
+{
+    if (isCancelledEarly(id)) {
+        logInfo("job.cancelled_early", {{"job", id.value()}});
+        done(Reply {replyWith(GraphOutcome::NoJob)});
+        return;
+    }
+    const Graph *graph = journal_.state().graphs().find(id);
+    logInfo("job.cancelled",
+        {{"job", id.value()}, {"state", graph == nullptr ? "unknown" : text(graph->state)}});
+    onChange_();
+    done(Reply {replyWith(GraphOutcome::Done)});
+}
+
+void GraphCallHandler::refuseEarlyCancel(const Request &request, const ReplyHandler &done)
+{
+    const QueueName &queue = request.queue.name;
+    const std::optional<std::uint64_t> leftOut =
+        cancelRecords_.admit(queue.value(), monotonicNow());
+    if (leftOut) {
+        logWarning("job.cancel_refused",
+            {{"queue", queue.value()}, {"early_cancels", maxEarlyCancels_},
+                {"left_out", *leftOut}});
+    }
+    GraphReply refusal = replyWith(GraphOutcome::Refused);
+    refusal.retryAfter = fullRetryAfter;
+    done(Reply {refusal});
+}
+
 std::uint64_t GraphCallHandler::pendingJobCount(const Queue &queue) const
 {
     const std::map<QueueName, std::set<GraphId>> &unstarted =
--- a/src/services/graphcallhandler.h
+++ b/src/services/graphcallhandler.h
@@ -7,6 +7,7 @@
 
 #include <crocusmill/customershares.h>
 #include <crocusmill/placementreport.h>
+#include <crocusmill/settings.h>
 
 #include <functional>
 #include <random>
@@ -28,6 +29,9 @@
     /// `onChange` is called when jobs have changed and a scheduling round is due.
     GraphCallHandler(Journal &journal, std::function<void()> onChange);
 
+    /// Sets the number of cancels that may be recorded for jobs that were not submitted yet.
+    void limitEarlyCancels(std::uint64_t maxEarlyCancels);
+
     /// Sets the observer of the counts of pending jobs that clients are told.
     /// Sets what tells whether jobs beyond a customer's share find room that nobody else needs.
     void onSpareRoomAsked(std::function<bool(const ServiceName &)> hasSpareRoom);
@@ -67,6 +71,10 @@
     [[nodiscard]] std::optional<Milliseconds> refusalOf(const Request &request) const;
     void show(const Request &request, const ReplyHandler &done);
     void cancel(const Request &request, const ReplyHandler &done);
+    void onCancelled(const GraphId &id, const ReplyHandler &done);
+    void refuseEarlyCancel(const Request &request, const ReplyHandler &done);
+    /// Returns whether the job was cancelled before its submission arrived.
+    [[nodiscard]] bool isCancelledEarly(const GraphId &id) const;
     void logBeyondShare(const CustomerName &customer, Milliseconds retryAfter);
     void logFull(const Queue &queue, std::uint64_t openTaskCount);
     [[nodiscard]] std::uint64_t pendingJobCount(const Queue &queue) const;
@@ -75,8 +83,10 @@
 
     Journal &journal_;
     std::function<void()> onChange_;
+    std::uint64_t maxEarlyCancels_ = StateSettings {}.maxEarlyCancels;
     LogLimiter fullRecords_; // by queue
     LogLimiter shareRecords_; // by customer
+    LogLimiter cancelRecords_; // by queue
     CustomerDirectory customers_;
     DocumentVersion customersVersion_; // of the catalog that customers_ reflects
     CustomerShares shares_;
--- a/src/services/jobcensus.cpp
+++ b/src/services/jobcensus.cpp
@@ -87,6 +87,7 @@
 JobCensus countJobs(const GraphRegistry &graphs, const std::set<GraphId> &begunJobs, WallTime now)
 {
     JobCensus census;
+    census.earlyCancels = graphs.earlyCancelCount();
     for (const GraphId &id : graphs.openGraphs()) {
         const Graph &graph = *graphs.find(id);
         JobCounts &counts = census.queues[graph.spec.queue];
@@ -179,6 +180,7 @@
     metrics_.set({"jobs_pending", ""}, static_cast<double>(census.total.notBegun()));
     metrics_.set({"jobs_placed_not_begun", ""}, static_cast<double>(census.total.placed));
     metrics_.set({"jobs_pending_missing", ""}, static_cast<double>(missing));
+    metrics_.set({"jobs_cancelled_early", ""}, static_cast<double>(census.earlyCancels));
     metrics_.set({"oldest_pending_job_seconds", ""},
         static_cast<double>(census.oldestAge.count()) / millisecondsPerSecond);
 }
--- a/src/services/jobcensus.h
+++ b/src/services/jobcensus.h
@@ -41,6 +41,7 @@
     JobCounts total;
     GraphId oldest; // of the jobs that have not begun; empty if there is none
     Milliseconds oldestAge {0};
+    std::uint64_t earlyCancels = 0; // recorded for jobs that were not submitted yet
 };
 
 /// `begunJobs`: the jobs of which a worker has reported the start or the end of a run to this
--- a/src/services/leaderservice.cpp
+++ b/src/services/leaderservice.cpp
@@ -65,6 +65,9 @@
         dispatch_ = std::make_unique<DispatchCallHandler>(control_, *journal_, *peers,
             kernel.find<WorkerLink>(names::workerLink),
             kernel.find<TicketOffice>(names::ticketOffice), settings_.peers.advertise, metrics_);
+        if (settings_.state) {
+            dispatch_->limitEarlyCancels(settings_.state->maxEarlyCancels);
+        }
         peers->onCall([this](const Call &call, const ReplyHandler &done) { handle(call, done); });
         // While the lease of this leader is lapsed, no other VM can answer either. Redirected
         // callers would return at once, so their calls are held.
--- a/src/services/placementquestions.cpp
+++ b/src/services/placementquestions.cpp
@@ -31,6 +31,8 @@
     setTerms(judged.spec, request);
     if (lacksKey(*queue, customer, customers)) {
         judged.refusal = RequestRefusal::UnknownCustomer;
+    } else if (isCancelledEarly(request.id)) {
+        judged.refusal = RequestRefusal::CancelledEarly;
     } else if (journal_.state().graphs().find(request.id) != nullptr) {
         judged.refusal = RequestRefusal::None;
     } else if (!isValid(request.id)) {
--- a/src/settings/placementreport.cpp
+++ b/src/settings/placementreport.cpp
@@ -74,6 +74,8 @@
         return "unknown_customer";
     case RequestRefusal::InvalidId:
         return "invalid_id";
+    case RequestRefusal::CancelledEarly:
+        return "cancelled_early";
     case RequestRefusal::TooManyOpenTasks:
         return "too_many_open_tasks";
     case RequestRefusal::BeyondShare:
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -106,6 +106,9 @@
     state.snapshotEntries =
         checker.optionalCount("snapshot_entries", 1, maxSnapshotEntries, state.snapshotEntries);
     state.endedWorkRetention = readDuration(checker, "keep_ended_ms", state.endedWorkRetention);
+    constexpr std::uint64_t maxEarlyCancelsSetting = 1'000'000;
+    state.maxEarlyCancels =
+        checker.optionalCount("early_cancels", 1, maxEarlyCancelsSetting, state.maxEarlyCancels);
     state.replacementTimeout = readDuration(checker, "replace_after_ms", state.replacementTimeout);
     constexpr std::uint64_t maxVoters = 9;
     state.voters =
--- a/src/state/graph.cpp
+++ b/src/state/graph.cpp
@@ -73,6 +73,11 @@
     }
 }
 
+bool Graph::isSubmitted() const
+{
+    return !occurrences.empty();
+}
+
 const GraphTask *Graph::find(const TaskRef &ref) const
 {
     if (ref.occurrence >= occurrences.size()
--- a/src/state/graphregistry.cpp
+++ b/src/state/graphregistry.cpp
@@ -278,6 +278,7 @@
 {
     const auto it = graphs_.find(command.graph);
     if (it == graphs_.end()) {
+        recordEarlyCancel(command);
         return false;
     }
     if (it->second->state == GraphState::Open) {
@@ -287,6 +288,20 @@
     return true;
 }
 
+void GraphRegistry::recordEarlyCancel(const CancelGraph &command)
+{
+    Graph graph;
+    graph.spec.id = command.graph;
+    graph.state = GraphState::Cancelled;
+    graph.acceptedAt = command.at;
+    graph.endedAt = command.at;
+    ++graphCounts_[graph.spec.queue];
+    graphs_.emplace(command.graph, CopyOnWrite<Graph> {std::move(graph)});
+    endedGraphs_.push_back(command.graph);
+    ++earlyCancelCount_;
+    recordChange(command.graph);
+}
+
 void GraphRegistry::forget(WallTime before)
 {
     while (canRemoveOldestEnded() && find(endedGraphs_.front())->endedAt < before) {
@@ -325,6 +340,7 @@
     if (--count->second == 0) {
         graphCounts_.erase(count);
     }
+    earlyCancelCount_ -= graph->second->isSubmitted() ? 0 : 1;
     graphs_.erase(graph);
     endedGraphs_.pop_front();
 }
@@ -381,6 +397,11 @@
     return customers;
 }
 
+std::size_t GraphRegistry::earlyCancelCount() const
+{
+    return earlyCancelCount_;
+}
+
 std::uint64_t GraphRegistry::openTaskCount() const
 {
     return openTaskCount_;
@@ -426,6 +447,7 @@
     graphs_.clear();
     openGraphs_.clear();
     openTaskCount_ = 0;
+    earlyCancelCount_ = 0;
     waitingGraphs_.clear();
     unstartedGraphs_.clear();
     graphCounts_.clear();
@@ -445,6 +467,7 @@
             updateIndices(graph);
         } else {
             endedGraphs_.push_back(id);
+            earlyCancelCount_ += graph.isSubmitted() ? 0 : 1;
             recordChange(id);
         }
         graphs_.emplace(id, CopyOnWrite<Graph> {std::move(graph)});
--- a/test/fakes/callingleader.h
+++ b/test/fakes/callingleader.h
@@ -62,9 +62,10 @@
 
 struct CallingLeader
 {
-    CallingLeader()
+    explicit CallingLeader(std::uint64_t maxEarlyCancels = StateSettings {}.maxEarlyCancels)
     {
         settings.state = StateSettings {};
+        settings.state->maxEarlyCancels = maxEarlyCancels;
         settings.peers.advertise = NodeAddress {"10.0.0.1", 7000};
         kernel.add(std::unique_ptr<Service> {&journal});
         kernel.add(std::unique_ptr<Service> {&peers});
--- a/test/fakes/services.h
+++ b/test/fakes/services.h
@@ -7,10 +7,13 @@
 
 #include <crocusmill/settings.h>
 
+#include <utility>
+#include <vector>
+
 namespace crocusmill::fakes
 {
 
-/// Leads by default and applies each proposal at once.
+/// Leads by default and applies each proposal at once, unless told to hold them.
 class FakeJournal final : public PassiveService, public Journal
 {
 public:
@@ -28,10 +31,28 @@
 
     void propose(const Command &command, ProposeHandler done) override
     {
+        if (isHolding_) {
+            held_.emplace_back(command, std::move(done));
+            return;
+        }
         index_ = LogIndex {index_.value() + 1};
         done(state_.apply(command, index_));
     }
 
+    void holdProposals()
+    {
+        isHolding_ = true;
+    }
+
+    /// Applies the held proposals in their order, and later ones at once.
+    void applyHeldProposals()
+    {
+        isHolding_ = false;
+        for (std::pair<Command, ProposeHandler> &proposal : std::exchange(held_, {})) {
+            propose(proposal.first, std::move(proposal.second));
+        }
+    }
+
     bool isLeading() const override
     {
         return isLeading_;
@@ -96,6 +117,8 @@
     }
 
     bool isLeading_ = true;
+    bool isHolding_ = false;
+    std::vector<std::pair<Command, ProposeHandler>> held_;
     LogIndex index_;
     StateMachine state_;
     Consensus consensus_;
@@ -129,6 +152,11 @@
         call_ = std::move(handler);
     }
 
+    void ask(const Call &call, ReplyHandler done)
+    {
+        call_(call, std::move(done));
+    }
+
     Reply ask(const Call &call)
     {
         std::optional<Reply> answer;
