A job with the id of another queue's job is refused

Callers saw: a job handed in under an id that a job of another queue had was answered 200, never stored, and 410 at its own path.

Cause: a submission whose id was recorded was taken for the same one sent again, whatever queue and customer the recorded job has. Ids are one space, as workers know tasks by them.

Change: it is refused with 400 invalid-id and logged as job.id_in_use; the customer is compared by name, so that questions about placements give the same answer.

Why it works: the check is the one by which GET and DELETE decide whose job it is, so what is answered as accepted is found at its path.

Two first submissions at the same moment are not covered.

--- a/src/services/graphcallhandler.cpp
+++ b/src/services/graphcallhandler.cpp
@@ -166,6 +166,11 @@
         done(Reply {replyWith(GraphOutcome::NoJob)});
         return;
     }
+    if (isIdOfOther(request)) {
+        logInfo("job.id_in_use", {{"job", id.value()}, {"queue", queue.name.value()}});
+        done(Reply {replyWith(GraphOutcome::InvalidId)});
+        return;
+    }
     if (journal_.state().graphs().find(id) != nullptr) {
         logInfo("job.submitted_again", {{"job", id.value()}});
         done(Reply {replyWith(GraphOutcome::Done)});
@@ -259,7 +264,9 @@
     // A customer may come back under another name, so jobs of one that is gone belong to whoever
     // knows their ids.
     const Customer *owner = customers_.find(graph->spec.customer);
-    const bool isOfOther = owner != nullptr && !owner->isRemoved && request.customer != owner;
+    const bool isOwner =
+        owner != nullptr && request.customer != nullptr && request.customer->name == owner->name;
+    const bool isOfOther = owner != nullptr && !owner->isRemoved && !isOwner;
     return isOfQueue && !isOfOther ? graph : nullptr;
 }
 
@@ -290,6 +297,14 @@
     done(Reply {reply});
 }
 
+/// A job whose queue is not known any more may be that of the request.
+bool GraphCallHandler::isIdOfOther(const Request &request) const
+{
+    const Graph *graph = journal_.state().graphs().find(request.id);
+    return graph != nullptr && find(request) == nullptr
+        && journal_.state().catalog().queueOfJobs(graph->spec.queue) != nullptr;
+}
+
 bool GraphCallHandler::isCancelledEarly(const GraphId &id) const
 {
     const Graph *graph = journal_.state().graphs().find(id);
--- a/src/services/graphcallhandler.h
+++ b/src/services/graphcallhandler.h
@@ -73,6 +73,8 @@
     void cancel(const Request &request, const ReplyHandler &done);
     void onCancelled(const GraphId &id, const ReplyHandler &done);
     void refuseEarlyCancel(const Request &request, const ReplyHandler &done);
+    /// Returns whether a job of another queue or customer has the id.
+    [[nodiscard]] bool isIdOfOther(const Request &request) const;
     /// Returns whether the job was cancelled before its submission arrived.
     [[nodiscard]] bool isCancelledEarly(const GraphId &id) const;
     void logBeyondShare(const CustomerName &customer, Milliseconds retryAfter);
--- a/src/services/placementquestions.cpp
+++ b/src/services/placementquestions.cpp
@@ -33,6 +33,8 @@
         judged.refusal = RequestRefusal::UnknownCustomer;
     } else if (isCancelledEarly(request.id)) {
         judged.refusal = RequestRefusal::CancelledEarly;
+    } else if (isIdOfOther(request)) {
+        judged.refusal = RequestRefusal::InvalidId;
     } else if (journal_.state().graphs().find(request.id) != nullptr) {
         judged.refusal = RequestRefusal::None;
     } else if (!isValid(request.id)) {
--- a/test/queuenames.cpp
+++ b/test/queuenames.cpp
@@ -205,6 +205,25 @@
     CHECK(call(leader, GraphAction::Show, quotes, job).state == GraphState::Cancelled);
 }
 
+// Guards against clients that are told that their job was accepted, while only another queue's job
+// of the same id is recorded.
+TEST_CASE("a job with the id of another queue's job was answered as accepted")
+{
+    CallingLeader leader;
+    const Queue quotes = quotesNamed("quotes");
+    Queue other = quotesNamed("other");
+    other.prefix = "/orders/";
+    install(leader, 1, {quotes, other});
+    CHECK(call(leader, GraphAction::Submit, other, job).outcome == GraphOutcome::Done);
+    CHECK(leader.submit(job, {stepOf(1)}).outcome == GraphOutcome::InvalidId);
+    CHECK(call(leader, GraphAction::Show, quotes, job).outcome == GraphOutcome::NoJob);
+    CHECK(call(leader, GraphAction::Submit, other, job).outcome == GraphOutcome::Done); // again
+    const Queue renamed = quotesNamed("orders");
+    install(leader, 5, {renamed});
+    CHECK(leader.submit(job, {stepOf(1)}).outcome == GraphOutcome::InvalidId);
+    CHECK(call(leader, GraphAction::Show, other, job).outcome == GraphOutcome::Done);
+}
+
 TEST_CASE("two routes that swap their names keep their jobs")
 {
     CallingLeader leader;
