Steps without ample time leave less room to tasks that can wait

Cause: a step leaves the cores free that all more urgent queues usually take within a second. Part of them was kept for a queue whose jobs have five seconds of slack and go first anyway. A fifth of the cores stayed free while the least urgent queue starved.

Why it works: the headroom is there for work that cannot wait for other tasks to end. What it keeps for other work costs a queue behind it most when that queue has no time left.

Test: headroom, "a step without time to wait left as much room to tasks with slack as to urgent ones"; before, a step left the same in both cases.

--- a/include/crocusmill/graphorder.h
+++ b/include/crocusmill/graphorder.h
@@ -54,6 +54,8 @@
 /// Returns the time in which the job should finish: the critical path by the client's estimates,
 /// times the queue's slack factor, plus the queue's aim.
 [[nodiscard]] Milliseconds objectiveOf(const GraphSpec &spec);
+/// Returns how long the job could wait in all and still finish in that time by the estimates.
+[[nodiscard]] Milliseconds slackOf(const GraphSpec &spec);
 /// Returns the longest estimated time from the start of the step to the end of the steps that
 /// depend on it.
 [[nodiscard]] Milliseconds remainingTimeOf(const GraphSpec &spec, std::uint32_t step);
--- a/src/cell/graphorder.cpp
+++ b/src/cell/graphorder.cpp
@@ -26,9 +26,7 @@
     return step.accepted + step.objective * maxObjectiveMultiple - step.remaining;
 }
 
-} // namespace
-
-Milliseconds objectiveOf(const GraphSpec &spec)
+Milliseconds criticalPathOf(const GraphSpec &spec)
 {
     std::vector<Milliseconds> finishOffsets;
     Milliseconds criticalPath {0};
@@ -40,11 +38,23 @@
         finishOffsets.push_back(startOffset + step.estimate);
         criticalPath = std::max(criticalPath, finishOffsets.back());
     }
-    const double scaled =
-        std::min(static_cast<double>(criticalPath.count()) * spec.slackFactor, maxObjectiveMs);
+    return criticalPath;
+}
+
+} // namespace
+
+Milliseconds objectiveOf(const GraphSpec &spec)
+{
+    const double scaled = std::min(
+        static_cast<double>(criticalPathOf(spec).count()) * spec.slackFactor, maxObjectiveMs);
     return Milliseconds {static_cast<std::int64_t>(scaled)} + spec.aim;
 }
 
+Milliseconds slackOf(const GraphSpec &spec)
+{
+    return objectiveOf(spec) - criticalPathOf(spec);
+}
+
 Milliseconds remainingTimeOf(const GraphSpec &spec, std::uint32_t step)
 {
     std::vector<Milliseconds> remaining(spec.steps.size(), Milliseconds {0});
--- a/src/services/dispatcher.cpp
+++ b/src/services/dispatcher.cpp
@@ -19,9 +19,6 @@
 constexpr Milliseconds minRoundPause {4};
 /// Limit for the sum of steps tried and tasks placed in one round.
 constexpr std::size_t maxRoundWork = 512;
-/// A step that ends in time even if its workers take this many times its estimates can wait: it
-/// leaves the faster workers to others. Estimates are off by up to a half.
-constexpr double slowWorkerFactor = 3.0;
 /// If more workers than this gained room, the largest gain is not recomputed after each placement.
 constexpr std::size_t maxMeasuredWorkers = 64;
 
@@ -300,11 +297,17 @@
     return {chosen.size(), false};
 }
 
+bool Dispatcher::hasAmpleTime(const StepDemand &demand, const Graph &graph)
+{
+    // Estimates are off by up to a half.
+    constexpr double slowWorkerFactor = 3.0;
+    return canEndInTime(graph, demand.step, slowWorkerFactor, wallTimeNow());
+}
+
 bool Dispatcher::canWait(const StepDemand &demand, const Graph &graph, Prospect prospect) const
 {
     return prospect != Prospect::InTime
-        || (supervisor_->observer().speeds().likelySlowCount() > 0
-            && canEndInTime(graph, demand.step, slowWorkerFactor, wallTimeNow()));
+        || (supervisor_->observer().speeds().likelySlowCount() > 0 && hasAmpleTime(demand, graph));
 }
 
 /// Avoids workers on which the newest run of a waiting task failed, unless no other worker fits.
@@ -332,7 +335,8 @@
     if (!chosen.empty()) {
         logPlaced(demand, graph, chosen);
         headroom_.notePlaced(graph.spec.priority,
-            std::uint64_t {reservationSize(*demand.spec).milliCores} * chosen.size(), now);
+            std::uint64_t {reservationSize(*demand.spec).milliCores} * chosen.size(),
+            slackOf(graph.spec), now);
     }
     // The members of a gang share their run number, which takes a search of all of them.
     const RunNumber gangRun = demand.spec->gang ? graph.nextRun(demand.step) : RunNumber {};
--- a/src/services/dispatcher.h
+++ b/src/services/dispatcher.h
@@ -130,6 +130,9 @@
     [[nodiscard]] bool tryRequestTicketsAhead(const TaskRef &step, MonotonicTime now);
     [[nodiscard]] std::vector<WorkerId> workersToAsk(
         const StepDemand &demand, bool canWait, std::size_t maxWorkers) const;
+    /// Returns whether the job ends in time even if the workers of the step take several times its
+    /// estimates.
+    [[nodiscard]] static bool hasAmpleTime(const StepDemand &demand, const Graph &graph);
     /// Returns whether the step leaves the faster workers to others.
     [[nodiscard]] bool canWait(
         const StepDemand &demand, const Graph &graph, Prospect prospect) const;
--- a/src/services/dispatchheadroom.cpp
+++ b/src/services/dispatchheadroom.cpp
@@ -24,7 +24,7 @@
                     * reservationSize(graph.spec.steps[step]).milliCores;
             }
         }
-        headroom_.notePlaced(graph.spec.priority, milliCores, now);
+        headroom_.notePlaced(graph.spec.priority, milliCores, slackOf(graph.spec), now);
     }
 }
 
@@ -36,13 +36,14 @@
     if (size == 0 || demand.spec->lasting) {
         return demand;
     }
-    const std::uint32_t priority = prospect >= Prospect::Surplus
-        ? std::numeric_limits<std::uint32_t>::max()
-        : graph.spec.priority;
+    const bool isOfLittleUse = prospect >= Prospect::Surplus;
+    const std::uint32_t priority =
+        isOfLittleUse ? std::numeric_limits<std::uint32_t>::max() : graph.spec.priority;
+    const bool hasTimeToWait = isOfLittleUse || hasAmpleTime(demand, graph);
     const Fleet &fleet = supervisor_->fleet();
     const std::uint64_t open = fleet.openMilliCores(demand.service);
-    const std::uint64_t kept =
-        fleet.usedMilliCores(demand.service) + headroom_.milliCoresFor(priority, open, now);
+    const std::uint64_t kept = fleet.usedMilliCores(demand.service)
+        + headroom_.milliCoresFor(priority, open, hasTimeToWait, now);
     const std::uint64_t tasks = kept >= open ? 0 : (open - kept) / size;
     if (demand.spec->gang && tasks < demand.waiting.size()) {
         demand.waiting.clear();
--- a/test/headroom.cpp
+++ b/test/headroom.cpp
@@ -22,6 +22,7 @@
 constexpr std::uint64_t milliPerCore = 1'000;
 constexpr Milliseconds tick {10};
 constexpr Milliseconds urgentDuration {800};
+constexpr Milliseconds urgentSlack {640}; // half of the duration and an aim of 240 ms
 constexpr Milliseconds backlogDuration {2'700};
 constexpr Milliseconds backlogStart {3'000};
 
@@ -33,7 +34,7 @@
 
 /// Replays tasks of one core: about 100 urgent ones a second, and from `backlogStart` on a backlog
 /// without end. The waits are those since then.
-Outcome replay(std::uint64_t seed, bool hasHeadroom)
+Outcome replay(std::uint64_t seed, bool hasHeadroom, bool canWait = true)
 {
     std::mt19937_64 random {seed};
     Headroom headroom;
@@ -54,10 +55,10 @@
             }
             urgent.pop_front();
             ends.push_back(now + urgentDuration);
-            headroom.notePlaced(urgentPriority, milliPerCore, now);
+            headroom.notePlaced(urgentPriority, milliPerCore, urgentSlack, now);
         }
         const std::uint64_t kept = hasHeadroom
-            ? headroom.milliCoresFor(backlogPriority, coreCount * milliPerCore, now)
+            ? headroom.milliCoresFor(backlogPriority, coreCount * milliPerCore, canWait, now)
             : 0;
         while (now >= start + backlogStart
             && ends.size() * milliPerCore + kept + milliPerCore <= coreCount * milliPerCore) {
@@ -82,7 +83,8 @@
     constexpr Milliseconds bound {50};
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
         INFO("seed " << seed);
-        const Outcome withHeadroom = replay(seed, true);
+        // Work that cannot wait keeps its room also against a backlog that would end late.
+        const Outcome withHeadroom = replay(seed, true, seed % 2 == 0);
         const Outcome naive = replay(seed, false);
         CHECK(quantile(withHeadroom.urgentWaits, 0.95) <= bound);
         CHECK(quantile(naive.urgentWaits, 0.95) > bound);
@@ -95,12 +97,29 @@
 {
     Headroom headroom;
     const std::uint64_t open = coreCount * milliPerCore;
-    headroom.notePlaced(urgentPriority, 50 * milliPerCore, start);
-    CHECK(headroom.milliCoresFor(urgentPriority, open, start) == 0);
-    CHECK(headroom.milliCoresFor(backlogPriority, open, start) > 0);
-    CHECK(headroom.milliCoresFor(backlogPriority, open, start + Milliseconds {30'000}) == 0);
-    headroom.notePlaced(urgentPriority, 100 * open, start);
-    CHECK(headroom.milliCoresFor(backlogPriority, open, start) < open / 2);
+    const bool canWait = GENERATE(true, false);
+    headroom.notePlaced(urgentPriority, 50 * milliPerCore, urgentSlack, start);
+    CHECK(headroom.milliCoresFor(urgentPriority, open, canWait, start) == 0);
+    CHECK(headroom.milliCoresFor(backlogPriority, open, canWait, start) > 0);
+    CHECK(
+        headroom.milliCoresFor(backlogPriority, open, canWait, start + Milliseconds {30'000}) == 0);
+    headroom.notePlaced(urgentPriority, 100 * open, urgentSlack, start);
+    CHECK(headroom.milliCoresFor(backlogPriority, open, canWait, start) < open / 2);
+}
+
+// Guards against steps that end late, or never, while a fifth of the cores is kept free for tasks
+// that go first anyway and have seconds to wait.
+TEST_CASE("a step without time to wait left as much room to tasks with slack as to urgent ones")
+{
+    constexpr std::uint32_t patientPriority = 1;
+    constexpr Milliseconds patientSlack {5'000};
+    const std::uint64_t open = coreCount * milliPerCore;
+    Headroom headroom;
+    headroom.notePlaced(patientPriority, 100 * milliPerCore, patientSlack, start);
+    const std::uint64_t whileWaiting = headroom.milliCoresFor(backlogPriority, open, true, start);
+    CHECK(headroom.milliCoresFor(backlogPriority, open, false, start) * 2 < whileWaiting);
+    headroom.notePlaced(urgentPriority, 100 * milliPerCore, urgentSlack, start);
+    CHECK(headroom.milliCoresFor(backlogPriority, open, false, start) >= whileWaiting);
 }
 
 } // namespace crocusmill
