Limits and metrics of early cancels: tests, and a repeated branch

Change: the checks of an id share a branch, in an order that gives the same outcomes, as a recorded id is always valid. Tests for the setting's bound and the gauge.

--- a/src/services/graphcallhandler.cpp
+++ b/src/services/graphcallhandler.cpp
@@ -317,8 +317,9 @@
 {
     if (find(request) == nullptr) {
         const GraphRegistry &graphs = journal_.state().graphs();
-        const bool isOfOther = graphs.find(request.id) != nullptr;
-        if (isOfOther || !isValid(request.id)) {
+        // Of another queue or customer, or cancelled early before.
+        const bool isRecorded = graphs.find(request.id) != nullptr;
+        if (isRecorded || !isValid(request.id)) {
             done(Reply {replyWith(GraphOutcome::NoJob)});
             return;
         }
--- a/src/services/graphcallhandler.h
+++ b/src/services/graphcallhandler.h
@@ -32,9 +32,9 @@
     /// Sets the number of cancels that may be recorded for jobs that were not submitted yet.
     void limitEarlyCancels(std::uint64_t maxEarlyCancels);
 
-    /// Sets the observer of the counts of pending jobs that clients are told.
     /// Sets what tells whether jobs beyond a customer's share find room that nobody else needs.
     void onSpareRoomAsked(std::function<bool(const ServiceName &)> hasSpareRoom);
+    /// Sets the observer of the counts of pending jobs that clients are told.
     void onPendingJobsTold(std::function<void(const QueueName &, std::uint64_t)> observer);
 
     void handle(const GraphCall &call, const ReplyHandler &done);
@@ -71,6 +71,7 @@
     [[nodiscard]] std::optional<Milliseconds> refusalOf(const Request &request) const;
     void show(const Request &request, const ReplyHandler &done);
     void cancel(const Request &request, const ReplyHandler &done);
+    /// Answers a cancel that has been recorded.
     void onCancelled(const GraphId &id, const ReplyHandler &done);
     void refuseEarlyCancel(const Request &request, const ReplyHandler &done);
     /// Returns whether a job of another queue or customer has the id.
--- a/src/services/placementquestions.cpp
+++ b/src/services/placementquestions.cpp
@@ -33,12 +33,10 @@
         judged.refusal = RequestRefusal::UnknownCustomer;
     } else if (isCancelledEarly(request.id)) {
         judged.refusal = RequestRefusal::CancelledEarly;
-    } else if (isIdOfOther(request)) {
+    } else if (isIdOfOther(request) || !isValid(request.id)) {
         judged.refusal = RequestRefusal::InvalidId;
     } else if (journal_.state().graphs().find(request.id) != nullptr) {
         judged.refusal = RequestRefusal::None;
-    } else if (!isValid(request.id)) {
-        judged.refusal = RequestRefusal::InvalidId;
     } else if (isFullFor(judged.spec)) {
         judged.refusal = RequestRefusal::TooManyOpenTasks;
     } else if (const std::optional<Milliseconds> retryAfter = refusalOf(request)) {
--- a/test/jobcensus.cpp
+++ b/test/jobcensus.cpp
@@ -122,6 +122,7 @@
     census.total = counts;
     census.oldest = GraphId {"a"};
     census.oldestAge = Milliseconds {7'500};
+    census.earlyCancels = 5;
     report.report(census, Term {3}, LogIndex {17});
     CHECK(log.records("jobs.counted").empty()); // no client asked
     report.recordAnswer(QueueName {"orders"}, 2);
@@ -142,6 +143,7 @@
     CHECK(hasLine(text, "crocusmill_jobs_pending_missing 3"));
     CHECK(hasLine(text, "crocusmill_jobs_placed_not_begun 6"));
     CHECK(hasLine(text, "crocusmill_oldest_pending_job_seconds 7.5"));
+    CHECK(hasLine(text, "crocusmill_jobs_cancelled_early 5"));
     report.clearGauges();
     CHECK(hasLine(metrics.prometheus(), "crocusmill_jobs_open 0"));
 }
--- a/test/settings.cpp
+++ b/test/settings.cpp
@@ -39,6 +39,7 @@
     CHECK(settings.times.beatInterval == Milliseconds {250});
     CHECK(settings.entry.maxBodyBytes == ByteCount {1024ULL * 1024});
     CHECK(settings.state->snapshotEntries == 20'000);
+    CHECK(settings.state->maxEarlyCancels == 20'000);
 }
 
 TEST_CASE("all faults are reported in one pass")
@@ -60,6 +61,14 @@
     CHECK(pointersOf(json) == std::vector<std::string> {"/state"});
 }
 
+TEST_CASE("a limit of early cancels of zero is a fault")
+{
+    std::string json = validSettings;
+    json.replace(
+        json.find(R"({"folder": "/tmp/x"})"), 20, R"({"folder": "/tmp/x", "early_cancels": 0})");
+    CHECK(pointersOf(json) == std::vector<std::string> {"/state/early_cancels"});
+}
+
 TEST_CASE("arbitrary bytes do not crash the parser")
 {
     CHECK(rc::check([](std::size_t at, char byte) {
