The live test of a renamed route expects the state of a recorded job

Cause: while the route was removed the test expected 404 for GET of an accepted job. GET of a job is answered with its state for as long as jobs are kept, or 410; 404 is the answer to new jobs and counts.

Change: it expects 200 and soon "running" for the job, and 404 for another id, the count and a new job at the removed prefix.

--- a/test/live/renamedroute.cpp
+++ b/test/live/renamedroute.cpp
@@ -46,7 +46,13 @@
         jobs.push_back(target);
     }
     REQUIRE(cell.installQueue(5, ""));
-    CHECK(cell.call(0, "GET", jobs.front()).status == 404);
+    CHECK(cell.call(0, "GET", jobs.front()).status == 200);
+    CHECK(eventually([&cell, &jobs]() {
+        return cell.call(0, "GET", jobs.front()).body.find("running") != std::string::npos;
+    }));
+    CHECK(cell.call(0, "GET", "/jobs/4e000000000000ff").status == 404);
+    CHECK(cell.call(0, "GET", "/jobs/").status == 404);
+    CHECK(cell.call(0, "POST", "/jobs/4e000000000000ff", twoSteps).status == 404);
     const bool isKilledBefore = GENERATE(false, true);
     if (isKilledBefore) {
         cell.killAll();
