--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The stand-ins of the scripts 12 to 15 are Python programs and need no build; checks that Python can
+# The stand-ins of the scripts 13 to 15 are Python programs and need no build; checks that Python can
 # read them.
 set -euo pipefail
 cd "$(dirname "$0")"
