--- a/review/13/scenario.py
+++ b/review/13/scenario.py
@@ -7,7 +7,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-3"))
 
-from deployment import Relay, Worker, new_job, now, run_case  # noqa: E402
+from deployment import CannotRun, Relay, Worker, new_job, now, run_case  # noqa: E402
 
 WORKERS = 16  # one of them leaves and is cut off: less than 0.065 of them
 TASK_MS = 20_000
@@ -32,23 +32,21 @@
 
     deployment.on_start = on_start
     deployment.on_end = on_end
-    if not await deployment.configure([deployment.route()]):
-        return None
+    await deployment.configure([deployment.route()])
     leaving = Worker(deployment, 0, via_relay=True)
     deployment.workers.append(leaving)
     await leaving.start()
     job = new_job()
     await asyncio.sleep(2)
-    if not await deployment.submit(
-            job, {"ms": TASK_MS}, [{"count": 4, "cpu": 1000, "mem_mb": 256,
-                                    "estimate_ms": TASK_MS}]):
-        raise asyncio.TimeoutError("the job was not accepted")
+    await deployment.submit(
+        job, {"ms": TASK_MS},
+        [{"count": 4, "cpu": 1000, "mem_mb": 256, "estimate_ms": TASK_MS}])
     for _ in range(100):
         if len(leaving.running) == 4:
             break
         await asyncio.sleep(0.1)
     else:
-        raise asyncio.TimeoutError("the tasks did not start")
+        raise CannotRun("the tasks did not start")
     for number in range(1, WORKERS):
         staying = Worker(deployment, number)
         deployment.workers.append(staying)
--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -142,20 +142,6 @@
         self.signal(signal.SIGKILL)
         await self.process.wait()
 
-    def resident_mb(self):
-        try:
-            with open(f"/proc/{self.process.pid}/status") as file:
-                for line in file:
-                    if line.startswith("VmRSS"):
-                        return int(line.split()[1]) / 1024
-        except (OSError, AttributeError):
-            pass
-        return 0
-
-    def logged(self, event):
-        with open(self.log, errors="replace") as file:
-            return [line for line in file if f'"event":"{event}"' in line]
-
 
 class Relay:
     """Forwards connections to an address. It can refuse them, and drop what comes back."""
@@ -423,8 +409,6 @@
         self.workers = []
         self.host = "match.example"
         self.version = 0
-        self.active = {}  # task: set of (worker, run) at work
-        self.broken = []
 
     def on_start(self, worker, task, run):
         pass
@@ -448,7 +432,7 @@
         self.temporary.cleanup()
 
     async def configure(self, routes, patience=20):
-        """Sends a configuration until it is acknowledged."""
+        """Sends a configuration until it is acknowledged, or refused."""
         self.version += 1
         config = {"version": self.version, "routes": routes,
                   "services": [{"name": "match", "health_path": "/healthz", "max_conns": 64,
@@ -463,12 +447,11 @@
                     (ip, self.ports["control"]), "POST", "/Config.Replace", config, timeout=2)
                 if status == 200:
                     self.record.add("config.acknowledged", version=self.version, by=ip)
-                    return True
+                    return
                 if status in (400, 409, 412, 413, 422):
-                    self.record.add("config.refused", version=self.version, status=status)
-                    return False
+                    raise CannotRun(f"the config was refused with {status}")
             await asyncio.sleep(0.2)
-        return False
+        raise CannotRun("the config was not acknowledged")
 
     def route(self, name="r", prefix="/q/", **fields):
         route = {"name": name, "host": self.host, "prefix": prefix, "kind": "unsafe",
@@ -483,44 +466,17 @@
                              {"Host": self.host, "X-Crocusmill-Deadline-Ms": "3000"}, timeout)
 
     async def submit(self, job, spec, steps, prefix="/q/", **fields):
-        """Sends the job until it is answered clearly. Returns whether it was accepted."""
+        """Sends the job until it is accepted."""
         body = {"spec": json.dumps(spec), "steps": steps, **fields}
         for _ in range(10):
             status, _, _ = await self.call("POST", prefix + job, body)
             self.record.add("submit", job=job, status=status)
             if 200 <= status < 300:
-                return True
+                return
             if status in (400, 404, 410):
-                return False
+                break
             await asyncio.sleep(0.3)
-        return False
-
-    async def state(self, job, prefix="/q/"):
-        status, _, body = await self.call("GET", prefix + job)
-        state = json.loads(body).get("state") if status == 200 else None
-        self.record.add("state", job=job, status=status, state=state)
-        return status, state
-
-    async def wait_state(self, job, wanted, seconds, prefix="/q/"):
-        until = now() + seconds
-        while now() < until:
-            _, state = await self.state(job, prefix)
-            if state in wanted:
-                return state
-            await asyncio.sleep(0.2)
-        return None
-
-    async def leader(self):
-        """Returns the daemon that leads, by the address that it gives to workers."""
-        best = None
-        for daemon in self.core:
-            if daemon.process is None or daemon.process.returncode is not None:
-                continue
-            for line in daemon.logged("journal.leading"):
-                term = int(re.search(r'"term":(\d+)', line).group(1))
-                if best is None or term > best[0]:
-                    best = (term, daemon)
-        return best[1] if best else None
+        raise CannotRun("the job was not accepted")
 
 
 def new_job():
