--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -106,6 +106,7 @@
                 {"leaving", worker.leavesAt.has_value()}});
     }
     fleet_.setOpen(id, isOpen(worker, now));
+    answerFarewells(worker, FarewellOutcome::RunsLeft); // the worker cannot be asked for its runs
 }
 
 void RunSupervisor::onHoldAnswered(const WorkerId &id, const Incarnation &incarnation,
--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -163,7 +163,11 @@
 void RunSupervisor::sendStop(const TaskRef &task, Run &run, MonotonicTime now)
 {
     Worker &worker = findOrAddWorker(run.placement.worker);
-    if (!worker.hasIncarnation || worker.heartbeat.incarnation != run.placement.incarnation) {
+    const bool isSameProcess =
+        worker.hasIncarnation && worker.heartbeat.incarnation == run.placement.incarnation;
+    // The holds show whether a leaving worker is still there. Stops would only cost connections.
+    const bool hasPerhapsLeft = worker.leavesAt && worker.unansweredHoldCount > 0;
+    if (!isSameProcess || hasPerhapsLeft) {
         run.nextOrderAt = now + parts_.times.maxOrderPause;
         return;
     }
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -116,8 +116,9 @@
     void adoptPlacements(MonotonicTime now);
     void onHeartbeat(const WorkerHeartbeat &heartbeat, MonotonicTime now);
     /// The worker announced that it leaves. An empty incarnation stands for the current one, until
-    /// that one's next heartbeat. If the incarnation is named, its runs are stopped, and `done` is
-    /// called once they have ended, or after farewellTimeout; otherwise `done` is called at once.
+    /// that one's next heartbeat. The runs of a worker that is named or drains are stopped, and
+    /// `done` is called once they have ended, after farewellTimeout, or when the worker does not
+    /// answer; otherwise it is called at once.
     void onWorkerLeaving(const WorkerId &worker, const Incarnation &incarnation, MonotonicTime now,
         FarewellHandler done);
     void tick(MonotonicTime now, WallTime wall);
@@ -256,6 +257,7 @@
     [[nodiscard]] bool isUnreachable(const Worker &worker, MonotonicTime now) const;
     [[nodiscard]] bool isAvailable(const Worker &worker, MonotonicTime now) const;
     void countFailingWorkers();
+    [[nodiscard]] bool isDeparting(const Worker &worker) const;
     [[nodiscard]] static bool hasEndedRuns(const Worker &worker);
     void stopRuns(const Worker &worker, MonotonicTime now);
     void answerFarewells(Worker &worker, FarewellOutcome outcome);
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -198,28 +198,40 @@
     leaving.isFarewellNamed = !incarnation.value().empty();
     updateFleet(leaving, now);
     leaving.farewells.push_back(std::move(done));
-    if (!leaving.isFarewellNamed) {
-        answerFarewells(leaving, FarewellOutcome::RunsLeft);
-        return;
-    }
     if (hasEndedRuns(leaving)) {
         answerFarewells(leaving, FarewellOutcome::RunsEnded);
         return;
     }
+    if (!isDeparting(leaving) || leaving.unansweredHoldCount > 0) {
+        answerFarewells(leaving, FarewellOutcome::RunsLeft);
+    }
     stopRuns(leaving, now);
     parts_.onChange();
 }
 
+/// Returns whether the present process of the worker leaves. A farewell that names no process may
+/// be that of an earlier one, and late, unless the present one drains.
+bool RunSupervisor::isDeparting(const Worker &worker) const
+{
+    const WorkerHeartbeat &heartbeat = worker.heartbeat;
+    const bool isDraining = (worker.hasHeartbeat && heartbeat.draining)
+        || parts_.state.isLeaving(heartbeat.id, heartbeat.incarnation);
+    return worker.leavesAt && (worker.isFarewellNamed || isDraining);
+}
+
 /// Returns whether no run is left on the worker and it knows that the ends it listed are recorded.
 bool RunSupervisor::hasEndedRuns(const Worker &worker)
 {
     return worker.runs.empty() && worker.acknowledgedEnd >= worker.lastRecordedEnd;
 }
 
-/// Stops the runs of a leaving worker, which would end with its process. The list after the stop
+/// Stops the runs of a departing worker, which would end with its process. The list after the stop
 /// proves that they have ended, while nothing after the acknowledgement of the farewell would.
 void RunSupervisor::stopRuns(const Worker &worker, MonotonicTime now)
 {
+    if (!isDeparting(worker)) {
+        return;
+    }
     for (const TaskRef &task : worker.runs) {
         Run &run = runs_.at(task);
         if (run.stage == Stage::Running && !run.isEnding && !run.isOrderPending) {
@@ -333,9 +345,7 @@
     if (worker.hasIncarnation && !worker.isHoldPending && now >= worker.nextHoldAt) {
         hold(id, worker, now);
     }
-    if (worker.leavesAt && worker.isFarewellNamed) {
-        stopRuns(worker, now);
-    }
+    stopRuns(worker, now);
     if (now >= worker.leasesExpireAt && isUnreachable(worker, now)) {
         std::vector<EndedRun> lost;
         for (const TaskRef &task : worker.runs) {
--- a/test/fakes/supervised.h
+++ b/test/fakes/supervised.h
@@ -61,13 +61,14 @@
             PlaceRuns {{{task, RunNumber {run}, worker, firstIncarnation}}}, LogIndex {++index});
     }
 
-    void receiveHeartbeat(
-        const Incarnation &incarnation = firstIncarnation, std::uint64_t sequence = 1)
+    void receiveHeartbeat(const Incarnation &incarnation = firstIncarnation,
+        std::uint64_t sequence = 1, bool draining = false)
     {
         WorkerHeartbeat heartbeat;
         heartbeat.id = worker;
         heartbeat.incarnation = incarnation;
         heartbeat.sequence = sequence;
+        heartbeat.draining = draining;
         heartbeat.capacity.milliCores = 4'000;
         heartbeat.clock = WorkerTime {1'000};
         heartbeat.service = ServiceName {"matching"};
--- a/test/workerevidence.cpp
+++ b/test/workerevidence.cpp
@@ -220,7 +220,11 @@
     fixture.startRun();
     fixture.link.answerStart(StartOutcome::Started);
     fixture.link.answerHold(Fixture::runningReport());
-    fixture.receiveFarewell();
+    const bool isNamed = GENERATE(true, false);
+    if (!isNamed) {
+        fixture.receiveHeartbeat(firstIncarnation, 2, true); // so it is this process that leaves
+    }
+    fixture.receiveFarewell(isNamed ? firstIncarnation : Incarnation {});
     REQUIRE(fixture.link.stops.size() == 1);
     CHECK(fixture.link.stops[0].run == RunNumber {1});
     fixture.link.stops[0].done(StopOutcome::Answered);
@@ -258,6 +262,31 @@
     CHECK(fixture.link.stops.size() == 1);
 }
 
+// Guards against an acknowledgement that waits in vain, and a connection for each stop meanwhile.
+TEST_CASE("a farewell stayed without an answer although the worker refused connections")
+{
+    Fixture fixture;
+    fixture.startRun();
+    fixture.link.answerStart(StartOutcome::Started);
+    fixture.link.answerHold(Fixture::runningReport());
+    const bool isRefusedBefore = GENERATE(true, false);
+    if (isRefusedBefore) {
+        fixture.link.failHold(HoldError::Refused);
+    }
+    fixture.receiveFarewell();
+    if (!isRefusedBefore) {
+        fixture.link.stops.back().done(StopOutcome::Unanswered);
+        fixture.link.failHold(HoldError::Refused);
+    }
+    CHECK(fixture.farewells == std::vector {FarewellOutcome::RunsLeft});
+    const std::size_t stops = fixture.link.stops.size();
+    fixture.tickUntil(Milliseconds {1'000});
+    CHECK(fixture.link.stops.size() == stops);
+    fixture.link.answerHold(Fixture::runningReport()); // the path works again
+    fixture.tickUntil(Milliseconds {1'200});
+    CHECK(fixture.link.stops.size() == stops + 1);
+}
+
 TEST_CASE("a farewell is answered at once if there is nothing to wait for, or nobody to wait")
 {
     Fixture fixture;
