--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -10,7 +10,8 @@
 ///
 /// A refused connection proves nothing, as a cut can refuse connections to a process that works on.
 /// Neither does a farewell: without an acknowledgement the process works on for a while. So the
-/// runs of a leaving worker are stopped before its farewell is acknowledged.
+/// runs of a leaving worker are stopped before its time is up, and at the latest before its
+/// farewell is acknowledged.
 
 #pragma once
 
@@ -74,6 +75,8 @@
     Milliseconds maxCallbackDelay {200};
     /// A call that fails within this time was rejected; one without an answer fails later.
     Milliseconds fastFailureTimeout {100};
+    /// The runs of a draining worker are stopped this long before it may leave.
+    Milliseconds drainMargin {500};
     /// A leaving worker without runs is removed after this time.
     Milliseconds departureTimeout {1'000};
     /// A farewell is acknowledged after this time even if runs of the worker have not ended. A stop
@@ -225,6 +228,7 @@
         EndNumber lastRecordedEnd; // ends up to this number are in the journal
         EndNumber acknowledgedEnd; // the worker knows that the ends up to this number are recorded
         std::set<TaskRef> runs;
+        std::optional<MonotonicTime> drainEndsAt; // set while it drains: it stays until then
         std::optional<MonotonicTime> leavesAt; // set while it leaves: when it may be removed
         bool isFarewellNamed = false; // with leavesAt: it is known which process leaves
         std::vector<FarewellHandler> farewells; // not answered yet
@@ -258,6 +262,7 @@
     [[nodiscard]] bool isAvailable(const Worker &worker, MonotonicTime now) const;
     void countFailingWorkers();
     [[nodiscard]] bool isDeparting(const Worker &worker) const;
+    [[nodiscard]] bool isDrainOver(const Worker &worker, MonotonicTime now) const;
     [[nodiscard]] static bool hasEndedRuns(const Worker &worker);
     void stopRuns(const Worker &worker, MonotonicTime now);
     void answerFarewells(Worker &worker, FarewellOutcome outcome);
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -88,6 +88,11 @@
     worker.heartbeat = heartbeat;
     worker.hasHeartbeat = true;
     worker.lastHeartbeatAt = now;
+    if (!heartbeat.draining) {
+        worker.drainEndsAt.reset();
+    } else if (heartbeat.remaining > Milliseconds {0}) {
+        worker.drainEndsAt = now + heartbeat.remaining;
+    }
     if (heartbeat.clock) {
         worker.clock.recordReading(*heartbeat.clock, now);
     }
@@ -142,6 +147,7 @@
     worker.acknowledgedEnd = {};
     worker.isHoldPending = false;
     worker.nextHoldAt = now;
+    worker.drainEndsAt.reset();
     worker.leavesAt.reset();
     answerFarewells(worker, FarewellOutcome::RunsLeft);
     worker.refusalCount = 0;
@@ -219,17 +225,24 @@
     return worker.leavesAt && (worker.isFarewellNamed || isDraining);
 }
 
+/// Returns whether the worker has drained for nearly as long as it said it would at least: it may
+/// leave at any time from then on.
+bool RunSupervisor::isDrainOver(const Worker &worker, MonotonicTime now) const
+{
+    return worker.drainEndsAt && now >= *worker.drainEndsAt - parts_.times.drainMargin;
+}
+
 /// Returns whether no run is left on the worker and it knows that the ends it listed are recorded.
 bool RunSupervisor::hasEndedRuns(const Worker &worker)
 {
     return worker.runs.empty() && worker.acknowledgedEnd >= worker.lastRecordedEnd;
 }
 
-/// Stops the runs of a departing worker, which would end with its process. The list after the stop
-/// proves that they have ended, while nothing after the acknowledgement of the farewell would.
+/// Stops the runs of a worker that departs or may do so soon. They would end with its process. The
+/// list after the stop proves that they have ended, while nothing after the process would.
 void RunSupervisor::stopRuns(const Worker &worker, MonotonicTime now)
 {
-    if (!isDeparting(worker)) {
+    if (!isDeparting(worker) && !isDrainOver(worker, now)) {
         return;
     }
     for (const TaskRef &task : worker.runs) {
--- a/test/fakes/supervised.h
+++ b/test/fakes/supervised.h
@@ -62,13 +62,14 @@
     }
 
     void receiveHeartbeat(const Incarnation &incarnation = firstIncarnation,
-        std::uint64_t sequence = 1, bool draining = false)
+        std::uint64_t sequence = 1, bool draining = false, Milliseconds remaining = {})
     {
         WorkerHeartbeat heartbeat;
         heartbeat.id = worker;
         heartbeat.incarnation = incarnation;
         heartbeat.sequence = sequence;
         heartbeat.draining = draining;
+        heartbeat.remaining = remaining;
         heartbeat.capacity.milliCores = 4'000;
         heartbeat.clock = WorkerTime {1'000};
         heartbeat.service = ServiceName {"matching"};
--- a/test/workerevidence.cpp
+++ b/test/workerevidence.cpp
@@ -155,12 +155,7 @@
     fixture.link.answerStart(isSent ? StartOutcome::Unanswered : StartOutcome::NotSent);
     const bool isOwnHeartbeat = GENERATE(true, false);
     if (isOwnHeartbeat) {
-        WorkerHeartbeat draining;
-        draining.id = worker;
-        draining.incarnation = firstIncarnation;
-        draining.sequence = 2;
-        draining.draining = true;
-        fixture.supervisor->onHeartbeat(draining, monotonicNow());
+        fixture.receiveHeartbeat(firstIncarnation, 2, true);
     }
     fixture.state.apply(NoteLeaving {worker, firstIncarnation, wall}, LogIndex {++fixture.index});
     fixture.tickUntil(Milliseconds {2'000});
@@ -244,6 +239,41 @@
     CHECK(fixture.link.holds.size() == holds);
 }
 
+// Guards against a wait for the leases after each drain: many workers end as they say farewell, and
+// answer no stop after that.
+TEST_CASE("the runs of a draining worker went on until its process ended")
+{
+    Fixture fixture;
+    fixture.startRun();
+    fixture.link.answerStart(StartOutcome::Started);
+    fixture.link.answerHold(Fixture::runningReport());
+    fixture.receiveHeartbeat(firstIncarnation, 2, true, Milliseconds {2'000});
+    fixture.tickUntil(Milliseconds {1'400});
+    CHECK(fixture.link.stops.empty());
+    const bool staysLonger = GENERATE(true, false);
+    if (staysLonger) {
+        fixture.receiveHeartbeat(firstIncarnation, 3, true, Milliseconds {3'000});
+    }
+    fixture.tickUntil(Milliseconds {1'700});
+    CHECK(fixture.link.stops.size() == (staysLonger ? 0 : 1));
+}
+
+TEST_CASE("a draining worker keeps its runs if it does not say for how long it stays, or stays")
+{
+    Fixture fixture;
+    fixture.startRun();
+    fixture.link.answerStart(StartOutcome::Started);
+    fixture.link.answerHold(Fixture::runningReport());
+    const bool stays = GENERATE(true, false);
+    fixture.receiveHeartbeat(
+        firstIncarnation, 2, true, stays ? Milliseconds {2'000} : Milliseconds {0});
+    if (stays) {
+        fixture.receiveHeartbeat(firstIncarnation, 3, false);
+    }
+    fixture.tickUntil(Milliseconds {4'000});
+    CHECK(fixture.link.stops.empty());
+}
+
 // Guards against a worker that is never told that it may leave, as its runs do not end in time.
 TEST_CASE("a farewell stayed without an answer while the worker could not be called")
 {
