--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -71,10 +71,11 @@
     const Milliseconds timeout = order.wait > Milliseconds {0}
         ? order.wait + parts_.times.answerTimeout.maxTimeout
         : answerTimeout_.timeout(worker.unansweredHoldCount / 2) * 2;
-    parts_.link.hold(endpointOf(worker), order, timeout,
-        [self = shared_from_this(), id, incarnation = worker.heartbeat.incarnation,
-            acknowledged = order.acknowledged, now, timeout](const HoldOutcome &outcome) {
-            self->onHoldAnswered(id, incarnation, outcome, acknowledged, now, timeout);
+    const WorkerEndpoint called = endpointOf(worker);
+    parts_.link.hold(called, order, timeout,
+        [self = shared_from_this(), called, acknowledged = order.acknowledged, now, timeout](
+            const HoldOutcome &outcome) {
+            self->onHoldAnswered(called, outcome, acknowledged, now, timeout);
         });
 }
 
@@ -109,9 +110,11 @@
     answerFarewells(worker, FarewellOutcome::RunsLeft); // the worker cannot be asked for its runs
 }
 
-void RunSupervisor::onHoldAnswered(const WorkerId &id, const Incarnation &incarnation,
-    const HoldOutcome &outcome, EndNumber acknowledged, MonotonicTime sent, Milliseconds timeout)
+void RunSupervisor::onHoldAnswered(const WorkerEndpoint &called, const HoldOutcome &outcome,
+    EndNumber acknowledged, MonotonicTime sent, Milliseconds timeout)
 {
+    const WorkerId &id = called.id;
+    const Incarnation &incarnation = called.incarnation;
     const auto it = workers_.find(id);
     if (isRetired_ || it == workers_.end() || it->second.heartbeat.incarnation != incarnation) {
         return;
@@ -148,7 +151,7 @@
     }
     if (outcome.error == HoldError::OtherIncarnation) {
         worker.nextHoldAt = now + holdRetryInterval;
-        onIncarnationGone(id, incarnation);
+        onIncarnationGone(called);
         return;
     }
     if (outcome.error) {
--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -60,20 +60,20 @@
     const Milliseconds timeout = answerTimeout_.timeout(run.sentOrderCount);
     ++run.sentOrderCount;
     recoverySteps_.reach(RecoveryStep::OrderSent, now);
-    parts_.link.start(endpointOf(worker), order, timeout,
-        [self = shared_from_this(), task, number = order.run, id = run.placement.worker,
-            incarnation = run.placement.incarnation,
-            sent = parts_.clock()](StartOutcome outcome, std::optional<WorkerTime> clock) {
+    const WorkerEndpoint called = endpointOf(worker);
+    parts_.link.start(called, order, timeout,
+        [self = shared_from_this(), task, number = order.run, called, sent = parts_.clock()](
+            StartOutcome outcome, std::optional<WorkerTime> clock) {
             if (outcome != StartOutcome::Unanswered && outcome != StartOutcome::NotSent) {
                 self->recordAnswerTime(sent);
             }
-            const auto it = self->workers_.find(id);
-            const bool isSameIncarnation =
-                it != self->workers_.end() && it->second.heartbeat.incarnation == incarnation;
+            const auto it = self->workers_.find(called.id);
+            const bool isSameIncarnation = it != self->workers_.end()
+                && it->second.heartbeat.incarnation == called.incarnation;
             if (clock && isSameIncarnation) {
                 it->second.clock.recordReading(*clock, self->parts_.clock());
             }
-            self->onStartAnswered(task, number, id, outcome);
+            self->onStartAnswered(task, number, called, outcome);
         });
 }
 
@@ -93,8 +93,9 @@
 }
 
 void RunSupervisor::onStartAnswered(
-    const TaskRef &task, RunNumber number, const WorkerId &id, StartOutcome outcome)
+    const TaskRef &task, RunNumber number, const WorkerEndpoint &called, StartOutcome outcome)
 {
+    const WorkerId &id = called.id;
     if (isRetired_) {
         return;
     }
@@ -127,7 +128,7 @@
     case StartOutcome::Unanswered:
         return;
     case StartOutcome::OtherIncarnation:
-        onIncarnationGone(id, run->placement.incarnation);
+        onIncarnationGone(called);
         return;
     case StartOutcome::Refused:
         ++worker.refusalCount;
@@ -173,19 +174,21 @@
     }
     run.isOrderPending = true;
     ++ordersSinceTick_;
-    parts_.link.stop(endpointOf(worker), task, run.placement.run, parts_.fence,
+    const WorkerEndpoint called = endpointOf(worker);
+    parts_.link.stop(called, task, run.placement.run, parts_.fence,
         answerTimeout_.timeout(run.unansweredStopCount),
-        [self = shared_from_this(), placement = run.placement, sent = parts_.clock()](
+        [self = shared_from_this(), placement = run.placement, called, sent = parts_.clock()](
             StopOutcome outcome) {
             if (outcome != StopOutcome::Unanswered) {
                 self->recordAnswerTime(sent);
             }
-            self->onStopAnswered(placement, outcome);
+            self->onStopAnswered(placement, called, outcome);
         });
 }
 
 /// `placement`: that of the run when the stop was sent.
-void RunSupervisor::onStopAnswered(const RunPlacement &placement, StopOutcome outcome)
+void RunSupervisor::onStopAnswered(
+    const RunPlacement &placement, const WorkerEndpoint &called, StopOutcome outcome)
 {
     Run *run = findRun(placement.task, placement.run);
     if (isRetired_ || run == nullptr || run->placement.incarnation != placement.incarnation) {
@@ -199,7 +202,7 @@
     if (outcome == StopOutcome::Answered) {
         run->confirmedAt = now;
     } else if (outcome == StopOutcome::OtherIncarnation) {
-        onIncarnationGone(run->placement.worker, run->placement.incarnation);
+        onIncarnationGone(called);
     }
 }
 
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -4,7 +4,7 @@
 /// - the worker listed its end;
 /// - the worker's list lacks the run, and the list was requested after the worker had answered the
 ///   run's start or stop;
-/// - another process answers at the worker's address, so the worker's process has ended;
+/// - another process answers at the present address of the worker, so its process has ended;
 /// - every lease that the worker may have been given has expired on its clock, and the worker has
 ///   not answered holds that this VM sent since it ticks without long gaps.
 ///
@@ -251,7 +251,7 @@
     [[nodiscard]] static WorkerEndpoint endpointOf(const Worker &worker);
     [[nodiscard]] std::optional<Incarnation> newestIncarnation(const Worker &worker) const;
     void replaceIncarnation(Worker &worker, const WorkerHeartbeat &heartbeat, MonotonicTime now);
-    void onIncarnationGone(const WorkerId &id, const Incarnation &incarnation);
+    void onIncarnationGone(const WorkerEndpoint &called);
     void updateFleet(const Worker &worker, MonotonicTime now);
     /// Returns whether the worker may begin runs: its process is known and does not leave.
     [[nodiscard]] bool mayBeginRuns(const Worker &worker) const;
@@ -283,9 +283,8 @@
     void hold(const WorkerId &id, Worker &worker, MonotonicTime now);
     void onHoldFailed(const WorkerId &id, Worker &worker, HoldError error, MonotonicTime sent,
         Milliseconds timeout);
-    void onHoldAnswered(const WorkerId &id, const Incarnation &incarnation,
-        const HoldOutcome &outcome, EndNumber acknowledged, MonotonicTime sent,
-        Milliseconds timeout);
+    void onHoldAnswered(const WorkerEndpoint &called, const HoldOutcome &outcome,
+        EndNumber acknowledged, MonotonicTime sent, Milliseconds timeout);
     void applyReport(
         const WorkerId &id, Worker &worker, const HoldReport &report, MonotonicTime sent);
     void applyListedRun(const WorkerId &id, Worker &worker, const ListedRun &listed);
@@ -300,9 +299,10 @@
     void takeBackStart(const TaskRef &task, Run &run, MonotonicTime now);
     void logRefusedStart(const TaskRef &task, const Run &run, MonotonicTime now);
     void onStartAnswered(
-        const TaskRef &task, RunNumber number, const WorkerId &id, StartOutcome outcome);
+        const TaskRef &task, RunNumber number, const WorkerEndpoint &called, StartOutcome outcome);
     void sendStop(const TaskRef &task, Run &run, MonotonicTime now);
-    void onStopAnswered(const RunPlacement &placement, StopOutcome outcome);
+    void onStopAnswered(
+        const RunPlacement &placement, const WorkerEndpoint &called, StopOutcome outcome);
     void noteStart(const GraphId &graph);
     void proposeStarts(MonotonicTime now);
     void stopUnknownRun(const WorkerId &id, const Worker &worker, const ListedRun &listed);
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -160,13 +160,22 @@
     recoverySteps_.reach(RecoveryStep::WorkerHeard, now);
 }
 
-/// Ends the runs of an incarnation: another process answers at the worker's address.
-void RunSupervisor::onIncarnationGone(const WorkerId &id, const Incarnation &incarnation)
+/// Ends the runs of an incarnation: another process has answered at its address. That says nothing
+/// about a worker that was heard at another address since.
+void RunSupervisor::onIncarnationGone(const WorkerEndpoint &called)
 {
+    const WorkerId &id = called.id;
+    const Incarnation &incarnation = called.incarnation;
     const auto it = workers_.find(id);
     if (it == workers_.end()) {
         return;
     }
+    if (it->second.heartbeat.address != called.address) {
+        logInfo("worker.moved",
+            {{"worker", id.value()}, {"incarnation", incarnation.value()},
+                {"called_ip", called.address.ip}, {"ip", it->second.heartbeat.address.ip}});
+        return;
+    }
     std::vector<EndedRun> lost;
     for (const TaskRef &task : it->second.runs) {
         const Run &run = runs_.at(task);
--- a/test/fakes/supervised.h
+++ b/test/fakes/supervised.h
@@ -67,6 +67,7 @@
         WorkerHeartbeat heartbeat;
         heartbeat.id = worker;
         heartbeat.incarnation = incarnation;
+        heartbeat.address = address;
         heartbeat.sequence = sequence;
         heartbeat.draining = draining;
         heartbeat.remaining = remaining;
@@ -131,6 +132,7 @@
     StateMachine state;
     FakeWorkerLink link;
     std::uint64_t index = 1;
+    NodeAddress address {"10.0.0.1", 8'080}; // of the worker, in its heartbeats
     bool canSendOrders = true;
     bool shouldFailNextProposal = false;
     bool isJournalSlow = false; // proposals wait in heldProposals
--- a/test/workerevidence.cpp
+++ b/test/workerevidence.cpp
@@ -380,6 +380,54 @@
     CHECK(fixture.farewells == std::vector {FarewellOutcome::RunsEnded});
 }
 
+TEST_CASE("another process at the address of a worker ends the runs of the worker")
+{
+    Fixture fixture;
+    fixture.startRun();
+    if (GENERATE(true, false)) {
+        fixture.link.answerStart(StartOutcome::OtherIncarnation);
+    } else {
+        fixture.link.answerStart(StartOutcome::Started);
+        fixture.link.failHold(HoldError::OtherIncarnation);
+    }
+    CHECK(fixture.phase() == TaskPhase::Waiting);
+    const FleetWorker *known = fixture.supervisor->fleet().find(worker);
+    CHECK((known == nullptr || !known->isOpen));
+}
+
+// Guards against tasks that run twice: that another process has the earlier address of a worker
+// says nothing about the runs of a worker that was heard at a new one.
+TEST_CASE("a worker lost its runs since another process answered at its earlier address")
+{
+    Fixture fixture;
+    fixture.startRun();
+    const int call = GENERATE(0, 1, 2); // a start, a hold or a stop
+    if (call > 0) {
+        fixture.link.answerStart(StartOutcome::Started);
+        fixture.link.answerHold(Fixture::runningReport());
+    }
+    if (call == 2) {
+        fixture.state.apply(CancelGraph {task.graph, wall}, LogIndex {++fixture.index});
+        fixture.tick(Milliseconds {0});
+        REQUIRE(fixture.link.stops.size() == 1);
+    }
+    fixture.address.ip = "10.0.0.2";
+    fixture.receiveHeartbeat(firstIncarnation, 2);
+    if (call == 0) {
+        fixture.link.answerStart(StartOutcome::OtherIncarnation);
+    } else if (call == 1) {
+        fixture.link.failHold(HoldError::OtherIncarnation);
+    } else {
+        fixture.link.stops[0].done(StopOutcome::OtherIncarnation);
+    }
+    CHECK(fixture.supervisor->hasRun(task));
+    fixture.tickUntil(Milliseconds {300});
+    const WorkerEndpoint called = call == 0 ? fixture.link.starts.back().worker
+        : call == 1                         ? fixture.link.holds.back().worker
+                                            : fixture.link.stops.back().worker;
+    CHECK(called.address == fixture.address);
+}
+
 TEST_CASE("holds that this VM could not send do not end the runs of their worker")
 {
     Fixture fixture;
