--- a/test/leases.cpp
+++ b/test/leases.cpp
@@ -153,6 +153,18 @@
     CHECK(fixture.announce().forget == std::vector<AttemptId> {AttemptId {"e-1"}});
 }
 
+TEST_CASE("repeatable work is given up while its upstream is silent, but not by a new leader")
+{
+    LeaseFixture fixture {true, false};
+    fixture.table.settle(AttemptId {"e-1"});
+    fixture.now += Milliseconds {4400};
+    CHECK(fixture.table.endAttemptsOfGoneUpstreams({}, fixture.state, fixture.now).empty());
+    fixture.now += Milliseconds {200};
+    const std::set<UpstreamId> alive {UpstreamId {"u"}};
+    CHECK(fixture.table.endAttemptsOfGoneUpstreams(alive, fixture.state, fixture.now).empty());
+    CHECK(fixture.table.endAttemptsOfGoneUpstreams({}, fixture.state, fixture.now).size() == 1);
+}
+
 TEST_CASE("non-repeatable work stays unsettled while its upstream is silent")
 {
     LeaseFixture fixture {false, false};
