--- a/src/services/runlists.cpp
+++ b/src/services/runlists.cpp
@@ -22,12 +22,13 @@
 /// short.
 Milliseconds RunSupervisor::holdWaitOf(const Worker &worker) const
 {
+    // The answer of a leaving worker without runs shows that it knows its ends to be recorded.
+    if (worker.leavesAt && worker.runs.empty()) {
+        return Milliseconds {0};
+    }
     // The first answer must not be delayed: it shows which adopted runs are running, and it makes
     // the worker available for placement.
-    // The answer of a leaving worker without runs shows that it knows its ends to be recorded.
-    const bool isReadyToLeave = worker.leavesAt && worker.runs.empty();
-    if (worker.answeredHoldSentAt == MonotonicTime {} || worker.unansweredHoldCount > 0
-        || isReadyToLeave) {
+    if (worker.answeredHoldSentAt == MonotonicTime {} || worker.unansweredHoldCount > 0) {
         return Milliseconds {0};
     }
     Milliseconds wait = parts_.times.holdWaitTimeout;
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -80,7 +80,7 @@
     /// A leaving worker without runs is removed after this time.
     Milliseconds departureTimeout {1'000};
     /// A farewell is acknowledged after this time even if runs of the worker have not ended. A stop
-    /// takes up to 0.9 s.
+    /// takes up to 0.9 s. A worker that waits for less says farewell again.
     Milliseconds farewellTimeout {1'500};
 };
 
--- a/src/services/runworkers.cpp
+++ b/src/services/runworkers.cpp
@@ -254,12 +254,19 @@
     if (!isDeparting(worker) && !isDrainOver(worker, now)) {
         return;
     }
+    std::uint64_t stoppedCount = 0;
     for (const TaskRef &task : worker.runs) {
         Run &run = runs_.at(task);
         if (run.stage == Stage::Running && !run.isEnding && !run.isOrderPending) {
             requestStop(run, now);
+            ++stoppedCount;
         }
     }
+    if (stoppedCount > 0) {
+        logInfo("worker.runs_stopped",
+            {{"worker", worker.heartbeat.id.value()}, {"runs", stoppedCount},
+                {"leaving", worker.leavesAt.has_value()}});
+    }
 }
 
 void RunSupervisor::answerFarewells(Worker &worker, FarewellOutcome outcome)
--- a/test/fakes/simulatedworkers.h
+++ b/test/fakes/simulatedworkers.h
@@ -94,12 +94,13 @@
     {
         Process &process = processes_.at(id);
         process.draining = true;
-        simulation_.after(simulation_.randomDuration(500, 2'000),
-            [this, id, isCutOff, number = process.number]() {
-                if (isAlive(processes_.at(id), number)) {
-                    sendFarewell(id, processes_.at(id), isCutOff);
-                }
-            });
+        const Milliseconds remaining = simulation_.randomDuration(500, 2'000);
+        process.drainEndsAt = simulation_.now() + remaining;
+        simulation_.after(remaining, [this, id, isCutOff, number = process.number]() {
+            if (isAlive(processes_.at(id), number)) {
+                sendFarewell(id, processes_.at(id), isCutOff);
+            }
+        });
     }
 
     /// Drops all calls to the worker, and its answers and heartbeats, for this time.
@@ -232,6 +233,7 @@
         Incarnation incarnation;
         bool alive = false;
         bool draining = false;
+        MonotonicTime drainEndsAt {}; // set by depart()
         MonotonicTime startedAt {};
         double clockRate = 1;
         std::uint64_t sequence = 0;
@@ -304,6 +306,9 @@
         heartbeat.service = ServiceName {"matching"};
         heartbeat.clock = clockOf(process);
         heartbeat.draining = process.draining;
+        heartbeat.remaining = std::max(
+            std::chrono::duration_cast<Milliseconds>(process.drainEndsAt - simulation_.now()),
+            Milliseconds {0});
         if (simulation_.now() < process.disconnectedUntil || simulation_.chance(3)) {
             return;
         }
