--- a/src/services/runorders.cpp
+++ b/src/services/runorders.cpp
@@ -167,8 +167,8 @@
     const bool isSameProcess =
         worker.hasIncarnation && worker.heartbeat.incarnation == run.placement.incarnation;
     // The holds show whether a leaving worker is still there. Stops would only cost connections.
-    const bool hasPerhapsLeft = worker.leavesAt && worker.unansweredHoldCount > 0;
-    if (!isSameProcess || hasPerhapsLeft) {
+    const bool mayHaveLeft = worker.leavesAt && worker.unansweredHoldCount > 0;
+    if (!isSameProcess || mayHaveLeft) {
         run.nextOrderAt = now + parts_.times.maxOrderPause;
         return;
     }
--- a/src/services/runsupervisor.h
+++ b/src/services/runsupervisor.h
@@ -228,7 +228,7 @@
         EndNumber lastRecordedEnd; // ends up to this number are in the journal
         EndNumber acknowledgedEnd; // the worker knows that the ends up to this number are recorded
         std::set<TaskRef> runs;
-        std::optional<MonotonicTime> drainEndsAt; // set while it drains: it stays until then
+        std::optional<MonotonicTime> drainEndsAt; // set while it drains, if it says for how long
         std::optional<MonotonicTime> leavesAt; // set while it leaves: when it may be removed
         bool isFarewellNamed = false; // with leavesAt: it is known which process leaves
         std::vector<FarewellHandler> farewells; // not answered yet
--- a/test/fakes/supervised.h
+++ b/test/fakes/supervised.h
@@ -94,6 +94,14 @@
         supervisor->start(task, std::nullopt, monotonicNow());
     }
 
+    /// Like startRun(). The worker has answered the start and listed the run.
+    void startListedRun()
+    {
+        startRun();
+        link.answerStart(StartOutcome::Started);
+        link.answerHold(runningReport());
+    }
+
     /// Ticks at an offset to the real time. Answers are stamped with the real time.
     void tick(Milliseconds offset)
     {
--- a/test/leases.cpp
+++ b/test/leases.cpp
@@ -132,7 +132,7 @@
 
 TEST_CASE("an absent attempt is not ended until the upstream has refused it")
 {
-    LeaseFixture fixture {false, false};
+    LeaseFixture fixture {GENERATE(true, false), GENERATE(true, false)};
     fixture.table.settle(AttemptId {"e-1"});
     CHECK(fixture.announce().stop == std::vector<AttemptId> {AttemptId {"e-1"}});
     CHECK(fixture.attemptState() == AttemptState::Started);
